--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,154 @@
+// One gatekeeper: wiring, signals, counters.
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <csignal>
+#include <iostream>
+
+#include "config/config.hpp"
+#include "net/clients.hpp"
+#include "net/feed.hpp"
+#include "net/gatekeeper.hpp"
+#include "net/servers.hpp"
+
+namespace garnetbeam {
+namespace {
+
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+constexpr std::size_t kSpareSockets = 96;  // for the carrier switches, the feed and the process's own files
+constexpr Duration kServeOn = 800ms;       // after SIGTERM: callers go on for up to 0.6 s
+constexpr Duration kLongestStop = 3600ms;  // after SIGTERM, until all that is open is refused
+constexpr Duration kStopTick = 20ms;
+constexpr int kNotes = 100;  // lines of the module that are logged
+
+// Unix time that never runs back: the system's clock is looked at once.
+class UnixClock {
+   public:
+    Instant now() const {
+        return anchor_ + std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() - start_);
+    }
+
+   private:
+    std::chrono::steady_clock::time_point start_ = std::chrono::steady_clock::now();
+    Instant anchor_ =
+        std::chrono::duration_cast<Duration>(std::chrono::system_clock::now().time_since_epoch());
+};
+
+class Program {
+   public:
+    Program(asio::io_context& io, const config::Config& config, const net::tcp::endpoint& listen)
+        : servers_(io, config.net.connect_time_out, counters_),
+          gatekeeper_(
+              config.settings, config.seed, [this] { return clock_.now(); }, servers_, counters_),
+          clients_(io, listen, most_clients(config), gatekeeper_, counters_),
+          feed_(
+              io, config.feed.empty() ? std::nullopt : net::to_endpoint(config.feed), config.known,
+              [this](const ListEvent& event) { take(event); }, counters_),
+          alarm_(io),
+          stop_tick_(io),
+          signals_(io, SIGTERM, SIGINT, SIGUSR1) {
+        servers_.report_to(gatekeeper_);
+        gatekeeper_.on_schedule([this](Instant at) { arm(at); });
+        gatekeeper_.on_note([this](const std::string& text) {
+            if (++notes_ <= kNotes) std::cerr << "note: " << text << '\n';
+        });
+        bool first = true;
+        for (ListEvent event : config.events) {
+            if (!event.has_list) continue;
+            if (std::exchange(first, false)) event.kind = ListKind::remembered;
+            take(event);
+        }
+        asio::co_spawn(io, watch_signals(), asio::detached);
+        feed_.start();
+        clients_.start();
+    }
+
+    const Counters& counters() const { return counters_; }
+
+   private:
+    static std::size_t most_clients(const config::Config& config) {
+        const auto sockets = static_cast<std::size_t>(config.sockets);
+        return sockets - std::min(kSpareSockets, sockets / 2);
+    }
+
+    // The call table first: it withdraws what is out to an exchange before its connection goes.
+    void take(const ListEvent& event) {
+        gatekeeper_.list(event);
+        servers_.list(event);
+    }
+
+    void arm(Instant at) {
+        alarm_.expires_after(std::max(Duration::zero(), at - clock_.now()));
+        alarm_.async_wait([this](const boost::system::error_code& stopped) {
+            if (!stopped) gatekeeper_.run_due();
+        });
+    }
+
+    asio::awaitable<void> watch_signals() {
+        for (;;) {
+            const int signal = co_await signals_.async_wait(asio::use_awaitable);
+            if (signal == SIGUSR1) {
+                std::cerr << counters_ << std::endl;
+            } else if (!std::exchange(stopping_, true)) {
+                asio::co_spawn(alarm_.get_executor(), stop(), asio::detached);
+            }
+        }
+    }
+
+    // Goes on serving until callers have had the time to turn elsewhere and all that is owed is answered.
+    asio::awaitable<void> stop() {
+        gatekeeper_.leave();
+        const Instant told = clock_.now();
+        for (;;) {
+            stop_tick_.expires_after(kStopTick);
+            co_await stop_tick_.async_wait(asio::use_awaitable);
+            const Duration passed = clock_.now() - told;
+            if (passed >= kLongestStop) gatekeeper_.refuse_all();
+            const bool done = gatekeeper_.unanswered() == 0 && clients_.idle() && servers_.idle();
+            if (passed >= kServeOn && (done || passed >= kLongestStop + kServeOn)) break;
+        }
+        clients_.stop();
+        feed_.stop();
+        static_cast<asio::io_context&>(stop_tick_.get_executor().context()).stop();
+    }
+
+    UnixClock clock_;
+    Counters counters_;
+    net::Servers servers_;
+    net::Gatekeeper gatekeeper_;
+    net::Clients clients_;
+    net::Feed feed_;
+    asio::steady_timer alarm_, stop_tick_;
+    asio::signal_set signals_;
+    int notes_ = 0;
+    bool stopping_ = false;
+};
+
+}  // namespace
+
+int run() {
+    const config::Config config = config::load();
+    const auto listen = net::to_endpoint(config.listen);
+    if (!listen) json::bad("'listen' must be a numeric address:port");
+    asio::io_context io(1);
+    Program program(io, config, *listen);
+    std::cerr << config.name << ": listening on " << config.listen << std::endl;
+    io.run();
+    std::cerr << program.counters() << std::endl;
+    return 0;
+}
+
+}  // namespace garnetbeam
+
+int main() {
+    std::signal(SIGPIPE, SIG_IGN);
+    try {
+        return garnetbeam::run();
+    } catch (const std::exception& problem) {
+        std::cerr << "nettlestall: " << problem.what() << '\n';
+        return 1;
+    }
+}
--- /dev/null
+++ b/src/net/connection.cpp
@@ -0,0 +1,115 @@
+#include "net/connection.hpp"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <charconv>
+#include <vector>
+
+namespace garnetbeam::net {
+namespace {
+
+constexpr std::size_t kMostQueued = 512 * 1024;  // bytes; a far end that reads so little is as good as gone
+constexpr std::size_t kGathered = 32;            // messages in one write
+
+template <int Level, int Name>
+using SocketNumber = asio::detail::socket_option::integer<Level, Name>;
+
+}  // namespace
+
+Connection::Connection(tcp::socket socket, Counters& counters)
+    : socket_(std::move(socket)), counters_(counters) {
+    set_up_socket(socket_);
+}
+
+void Connection::send(protocol::Frame frame) {
+    if (!socket_.is_open()) return;
+    queued_ += frame.size();
+    // Guards against a far end that reads nothing: its messages would fill the memory.
+    if (queued_ > kMostQueued) {
+        ++counters_.overflowed;
+        return close();
+    }
+    queue_.push_back(std::move(frame));
+    if (std::exchange(writing_, true)) return;
+    asio::co_spawn(
+        socket_.get_executor(), [self = shared_from_this()] { return self->write(); }, asio::detached);
+}
+
+void Connection::close() {
+    boost::system::error_code ignored;
+    socket_.shutdown(tcp::socket::shutdown_both, ignored);
+    socket_.close(ignored);
+}
+
+asio::awaitable<void> Connection::write() {
+    while (!queue_.empty() && socket_.is_open()) {
+        std::vector<asio::const_buffer> buffers;
+        const std::size_t frames = std::min(queue_.size(), kGathered);
+        for (std::size_t i = 0; i < frames; ++i) {
+            buffers.push_back(asio::buffer(queue_[i].head));
+            if (queue_[i].tail) buffers.push_back(asio::buffer(*queue_[i].tail));
+        }
+        const auto [error, bytes] =
+            co_await asio::async_write(socket_, buffers, asio::as_tuple(asio::use_awaitable));
+        if (error) {
+            close();
+            break;
+        }
+        queued_ -= bytes;
+        queue_.erase(queue_.begin(), queue_.begin() + static_cast<std::ptrdiff_t>(frames));
+    }
+    writing_ = false;
+}
+
+std::optional<tcp::endpoint> to_endpoint(const std::string& address) {
+    const auto colon = address.rfind(':');
+    if (colon == std::string::npos) return std::nullopt;
+    std::string host = address.substr(0, colon);
+    if (host.size() > 2 && host.front() == '[' && host.back() == ']') host = host.substr(1, host.size() - 2);
+    boost::system::error_code error;
+    const auto ip = asio::ip::make_address(host, error);
+    std::uint16_t port = 0;
+    const char* const last = address.data() + address.size();
+    const auto [end, wrong] = std::from_chars(address.data() + colon + 1, last, port);
+    if (error || wrong != std::errc{} || end != last) return std::nullopt;
+    return tcp::endpoint(ip, port);
+}
+
+asio::awaitable<boost::system::error_code> connect(tcp::socket& socket, tcp::endpoint to,
+                                                   std::chrono::microseconds time_out) {
+    bool late = false;
+    asio::steady_timer timer(socket.get_executor(), time_out);
+    timer.async_wait([&socket, &late](const boost::system::error_code& stopped) {
+        if (stopped) return;
+        late = true;
+        boost::system::error_code ignored;
+        socket.close(ignored);
+    });
+    const auto [error] = co_await socket.async_connect(to, asio::as_tuple(asio::use_awaitable));
+    // A timer that came due together with the connection still runs its handler, with both its references:
+    // let it run before they go.
+    if (timer.cancel() == 0 && !late) {
+        asio::steady_timer turn(socket.get_executor(), std::chrono::microseconds(1));
+        co_await turn.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+    co_return late ? boost::system::error_code(asio::error::timed_out) : error;
+}
+
+void set_up_socket(tcp::socket& socket) {
+    boost::system::error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    // A machine that is gone says nothing: the kernel finds out within some seconds.
+    socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    socket.set_option(SocketNumber<IPPROTO_TCP, TCP_KEEPIDLE>(5), ignored);
+    socket.set_option(SocketNumber<IPPROTO_TCP, TCP_KEEPINTVL>(2), ignored);
+    socket.set_option(SocketNumber<IPPROTO_TCP, TCP_KEEPCNT>(3), ignored);
+}
+
+}  // namespace garnetbeam::net
--- /dev/null
+++ b/src/net/connection.hpp
@@ -0,0 +1,63 @@
+// One TCP connection, whoever is at its far end: a bounded queue of messages and one writer that gathers
+// them.
+#pragma once
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <chrono>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "counters.hpp"
+#include "protocol/codec.hpp"
+
+namespace garnetbeam::net {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+class Connection : public std::enable_shared_from_this<Connection> {
+   public:
+    Connection(tcp::socket socket, Counters& counters);
+
+    void send(protocol::Frame frame);
+    void close();  // at once; what is queued is dropped
+    bool open() const { return socket_.is_open(); }
+    bool idle() const { return queue_.empty(); }
+
+    // Reads into `session` until the far end closes, breaks off or sends what is malformed.
+    template <class Session>
+    asio::awaitable<void> read_into(Session& session) {
+        for (;;) {
+            const std::span<char> space = session.space();
+            const auto [error, bytes] = co_await socket_.async_read_some(
+                asio::buffer(space.data(), space.size()), asio::as_tuple(asio::use_awaitable));
+            if (error || !session.fed(bytes)) co_return;
+        }
+    }
+
+   private:
+    asio::awaitable<void> write();
+
+    tcp::socket socket_;
+    Counters& counters_;
+    std::deque<protocol::Frame> queue_;
+    std::size_t queued_ = 0;
+    bool writing_ = false;
+};
+
+// Nothing if `address` is not of the form address:port with a numeric address.
+std::optional<tcp::endpoint> to_endpoint(const std::string& address);
+
+// Connects within `time_out`. The error is timed_out where nothing came up in time.
+asio::awaitable<boost::system::error_code> connect(tcp::socket& socket, tcp::endpoint to,
+                                                   std::chrono::microseconds time_out);
+
+void set_up_socket(tcp::socket& socket);
+
+}  // namespace garnetbeam::net
--- /dev/null
+++ b/src/net/gatekeeper.cpp
@@ -0,0 +1,396 @@
+#include "net/gatekeeper.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace garnetbeam::net {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration kReadyAnyway =
+    milliseconds(1500);                               // a silent switch must not keep the front away for ever
+constexpr Duration kOverdueSlack = milliseconds(20);  // past the caller's patience, before the guard answers
+constexpr std::size_t kReleasesOwed = 20'000;
+
+}  // namespace
+
+Gatekeeper::Gatekeeper(const Settings& settings, std::uint64_t seed, Time time, Switches& switches,
+                       Counters& counters)
+    : settings_(settings),
+      control_(settings, seed),
+      time_(std::move(time)),
+      switches_(switches),
+      counters_(counters),
+      started_(time_()) {}
+
+// ---- The module ------------------------------------------------------------------------------------
+
+void Gatekeeper::tell(Event event) {
+    later(std::move(event));
+    if (telling_) return;  // what an action brought about waits for the actions before it
+    telling_ = true;
+    while (!events_.empty()) {
+        const Event next = std::move(events_.front());
+        events_.pop_front();
+        actions_.clear();
+        control_.handle(time_(), next, actions_);
+        for (std::size_t i = 0; i < actions_.size(); ++i)
+            std::visit([this](const auto& action) { act(action); }, actions_[i]);
+    }
+    telling_ = false;
+}
+
+void Gatekeeper::schedule(Instant at, Due due) {
+    const bool first = due_.empty() || at < due_.begin()->first;
+    due_.emplace(at, std::move(due));
+    if (first && earlier_) earlier_(at);
+}
+
+void Gatekeeper::run_due() {
+    while (!due_.empty() && due_.begin()->first <= time_()) {
+        const Due next = std::move(due_.begin()->second);
+        due_.erase(due_.begin());
+        std::visit([this](const auto& timer) { due(timer); }, next);
+    }
+    if (!due_.empty() && earlier_) earlier_(due_.begin()->first);
+}
+
+void Gatekeeper::due(const ModuleTimer& timer) {
+    tell(TimerDue{timer.token});
+}
+
+void Gatekeeper::due(const AttemptTimeOut& timer) {
+    const auto at = calls_.find(timer.call);
+    if (at == calls_.end() || at->second.phase != Phase::out || at->second.attempts != timer.attempt) return;
+    ++counters_.timed_out;
+    switches_.give_up(at->second.at, at->first);
+    end_attempt(at, Outcome::timed_out, Cause::none, {});
+}
+
+// Guards against a call without a final answer, whatever the module or an exchange did: the module answers
+// before this comes due.
+void Gatekeeper::due(const AnswerDue& timer) {
+    const auto at = calls_.find(timer.call);
+    if (at == calls_.end() || at->second.phase == Phase::standing) return;
+    ++counters_.overdue;
+    CallerLink* const link = at->second.link;
+    abandon(at);
+    if (link) link->release(timer.call, Ending::failed);
+}
+
+// ---- Its actions -----------------------------------------------------------------------------------
+
+bool Gatekeeper::may_set_up(const Call& call, const ExchangeId& at) const {
+    const auto exchange = exchanges_.find(at);
+    return call.phase == Phase::waiting && call.attempts < settings_.max_attempts &&
+           time_() >= call.not_before && exchange != exchanges_.end() &&
+           exchange->second.state == ExchangeState::ready;
+}
+
+void Gatekeeper::act(const SetUp& action) {
+    const auto at = calls_.find(action.call);
+    if (at == calls_.end()) return;
+    Call& call = at->second;
+    // Guards the rules whatever the module asks for: no second attempt beside one that is out, none before
+    // the release, none to an exchange that drains or has gone, none beyond the cap.
+    if (!may_set_up(call, action.exchange)) {
+        ++counters_.held_back;
+        if (call.phase != Phase::waiting) return;
+        return later(AttemptEnded{.call = action.call,
+                                  .attempt = call.attempts++,
+                                  .exchange = action.exchange,
+                                  .outcome = Outcome::not_sent});
+    }
+    const Instant now = time_();
+    const Duration left = call.answer_by - now;
+    const Duration wait = action.time_out > Duration::zero() ? std::min(action.time_out, left) : left;
+    call.phase = Phase::out;
+    call.at = action.exchange;
+    call.sent = now;
+    ++call.attempts;
+    ++counters_.attempts;
+    schedule(now + wait, AttemptTimeOut{action.call, call.attempts});
+    switches_.set_up(call.at, {action.call, call.service_class, call.number, call.description, wait});
+}
+
+void Gatekeeper::act(const Refuse& action) {
+    // The pause that the module may advise has no place in this protocol's messages.
+    ++counters_.refused;
+    final_answer(action.call, Ending::refused);
+}
+
+void Gatekeeper::act(const Fail& action) {
+    ++counters_.failed;
+    final_answer(action.call, Ending::failed);
+}
+
+void Gatekeeper::act(const Cancel& action) {
+    const auto at = calls_.find(action.call);
+    if (at == calls_.end() || at->second.phase != Phase::out || at->second.attempts != action.attempt + 1)
+        return;
+    ++counters_.cancelled;
+    switches_.give_up(at->second.at, at->first);
+    end_attempt(at, Outcome::cancelled, Cause::none, {});
+}
+
+void Gatekeeper::act(const SetTimer& action) {
+    schedule(time_() + action.delay, ModuleTimer{action.token});
+}
+
+void Gatekeeper::act(const Note& action) {
+    if (note_) note_(action.text);
+}
+
+void Gatekeeper::final_answer(const CallId& id, Ending ending) {
+    const auto at = calls_.find(id);
+    if (at == calls_.end() || at->second.phase == Phase::standing) return;
+    if (at->second.phase == Phase::out) switches_.give_up(at->second.at, id);
+    CallerLink* const link = at->second.link;
+    --unanswered_;
+    calls_.erase(at);
+    if (link) link->release(id, ending);
+}
+
+// ---- Callers ---------------------------------------------------------------------------------------
+
+void Gatekeeper::offered(CallerLink& link, const Offer& offer) {
+    if (calls_.count(offer.call)) {
+        ++counters_.repeated;
+        return;
+    }
+    ++counters_.set_ups;
+    counters_.transit += offer.transit;
+    counters_.redials += offer.redial;
+    const auto named = std::find_if(settings_.classes.begin(), settings_.classes.end(),
+                                    [&](const ClassSettings& c) { return c.name == offer.service_class; });
+    const bool full =
+        settings_.max_open_calls > 0 && unanswered_ >= static_cast<std::size_t>(settings_.max_open_calls);
+    if (named == settings_.classes.end() || offer.width < 1 || offer.destination < 0 || full) {
+        ++(full ? counters_.refused : counters_.failed);
+        return link.release(offer.call, full ? Ending::refused : Ending::failed);
+    }
+    Call& call = calls_[offer.call];
+    ++unanswered_;
+    call.link = &link;
+    call.transit = offer.transit;
+    call.service_class = offer.service_class;
+    call.number = offer.number;
+    call.description = std::make_shared<const std::string>(offer.description);
+    call.answer_by = time_() + offer.patience;
+    schedule(call.answer_by + kOverdueSlack, AnswerDue{offer.call});
+
+    CallOffered event;
+    event.call = offer.call;
+    event.destination = offer.destination;
+    event.width = offer.width;
+    event.service_class = static_cast<int>(named - settings_.classes.begin());
+    (offer.transit ? event.previous : event.advised) = offer.via;
+    event.patience = offer.patience;
+    event.transit = offer.transit;
+    event.was_cut = offer.again;
+    event.redial = offer.redial;
+    event.number = call.number;
+    tell(std::move(event));
+}
+
+void Gatekeeper::released(const CallId& id) {
+    const auto at = calls_.find(id);
+    if (at == calls_.end()) return;  // over already, and told twice
+    if (at->second.phase == Phase::standing) {
+        ++counters_.released;
+        switches_.release(at->second.at, id);
+        return end_standing(at, Outcome::cancelled, {}, false);
+    }
+    ++counters_.abandoned;
+    abandon(at);
+}
+
+// The caller waits no longer: no answer is owed, and what is out is given up.
+void Gatekeeper::abandon(Calls::iterator at) {
+    const CallId id = at->first;
+    const Call call = std::move(at->second);
+    --unanswered_;
+    calls_.erase(at);
+    if (call.phase == Phase::out) switches_.give_up(call.at, id);
+    tell(CallAbandoned{id});
+    if (call.phase == Phase::out)
+        tell(AttemptEnded{.call = id,
+                          .attempt = call.attempts - 1,
+                          .exchange = call.at,
+                          .outcome = Outcome::cancelled,
+                          .final = true,
+                          .lag = time_() - call.sent});
+}
+
+bool Gatekeeper::ready() const {
+    if (leaving_) return false;
+    if (time_() - started_ >= kReadyAnyway) return true;
+    return !exchanges_.empty() &&
+           std::all_of(exchanges_.begin(), exchanges_.end(), [this](const auto& known) {
+               const Exchange& x = known.second;
+               return x.group_known || x.state != ExchangeState::ready || x.number == settings_.own_exchange;
+           });
+}
+
+void Gatekeeper::caller_up(CallerLink& link) {
+    links_.push_back(&link);
+    for (const auto& [call, ending] : std::exchange(owed_, {})) link.release(call, ending);
+}
+
+void Gatekeeper::caller_gone(CallerLink& link) {
+    std::erase(links_, &link);
+    std::vector<CallId> open;
+    for (auto& [id, call] : calls_) {
+        if (call.link != &link) continue;
+        call.link = nullptr;
+        if (call.phase != Phase::standing) open.push_back(id);
+    }
+    for (const CallId& id : open) {
+        const auto at = calls_.find(id);
+        if (at == calls_.end()) continue;
+        ++counters_.abandoned;
+        abandon(at);
+    }
+}
+
+// A standing call belongs to no connection: its release goes on its own one, on any other, or on the next.
+void Gatekeeper::release_caller(const CallId& call, CallerLink* link, Ending ending) {
+    if (!link && !links_.empty()) link = links_.back();
+    if (link) return link->release(call, ending);
+    if (owed_.size() < kReleasesOwed) owed_.emplace_back(call, ending);
+}
+
+void Gatekeeper::refuse_all() {
+    std::vector<CallId> open;
+    for (const auto& [id, call] : calls_)
+        if (call.phase != Phase::standing) open.push_back(id);
+    for (const CallId& id : open) {
+        ++counters_.refused;
+        final_answer(id, Ending::refused);
+    }
+}
+
+// ---- Carrier switches ------------------------------------------------------------------------------
+
+void Gatekeeper::stands(const ExchangeId& exchange, const CallId& id, std::string_view description) {
+    const auto at = calls_.find(id);
+    if (at == calls_.end() || at->second.phase == Phase::waiting || at->second.at != exchange) {
+        // The answer crossed a give-up: the call may stand there, with nobody at this end.
+        ++counters_.crossed;
+        return switches_.release(exchange, id);
+    }
+    Call& call = at->second;
+    if (call.phase == Phase::standing) return;  // told twice
+    call.phase = Phase::standing;
+    --unanswered_;
+    ++counters_.stood;
+    ++counters_.answered;
+    call.description = nullptr;
+    call.number.clear();
+    if (call.link) call.link->answer(id, std::make_shared<const std::string>(description));
+    tell(CallStands{id, call.attempts - 1, exchange, time_() - call.sent});
+}
+
+void Gatekeeper::ended(const ExchangeId& exchange, const CallId& id, Outcome outcome, Cause cause,
+                       const LoadReport& load) {
+    const auto at = calls_.find(id);
+    if (at == calls_.end() || at->second.phase == Phase::waiting || at->second.at != exchange)
+        return group_state(exchange, load);  // late; its report is still news
+    if (at->second.phase == Phase::standing)
+        return end_standing(at, outcome == Outcome::ended ? Outcome::ended : Outcome::reset, load, true);
+    // A call that never stood cannot have come to its end.
+    end_attempt(at, outcome == Outcome::ended ? Outcome::failed : outcome, cause, load);
+}
+
+void Gatekeeper::end_attempt(Calls::iterator at, Outcome outcome, Cause cause, const LoadReport& load) {
+    Call& call = at->second;
+    call.phase = Phase::waiting;
+    const Instant now = time_();
+    if (outcome == Outcome::timed_out || outcome == Outcome::reset || outcome == Outcome::cancelled)
+        call.not_before = now + settings_.release_wait;
+    counters_.turned_back += outcome == Outcome::turned_back;
+    counters_.errors += outcome == Outcome::failed;
+    counters_.reset += outcome == Outcome::reset;
+    counters_.unreachable += outcome == Outcome::unreachable;
+    counters_.moot += outcome == Outcome::not_sent;
+    tell(AttemptEnded{.call = at->first,
+                      .attempt = call.attempts - 1,
+                      .exchange = call.at,
+                      .outcome = outcome,
+                      .cause = cause,
+                      .final = false,
+                      .lag = now - call.sent,
+                      .load = load});
+}
+
+void Gatekeeper::end_standing(Calls::iterator at, Outcome outcome, const LoadReport& load, bool tell_caller) {
+    const CallId id = at->first;
+    const Call call = std::move(at->second);
+    calls_.erase(at);
+    ++(outcome == Outcome::reset ? counters_.cut : counters_.ended);
+    if (tell_caller) release_caller(id, call.link, outcome == Outcome::reset ? Ending::cut : Ending::ended);
+    tell(AttemptEnded{.call = id,
+                      .attempt = call.attempts - 1,
+                      .exchange = call.at,
+                      .outcome = outcome,
+                      .final = true,
+                      .lag = time_() - call.sent,
+                      .load = load});
+}
+
+void Gatekeeper::group_state(const ExchangeId& exchange, const LoadReport& load) {
+    if (load.free_circuits < 0 || load.group_size < 0) return;
+    ++counters_.group_states;
+    if (const auto at = exchanges_.find(exchange); at != exchanges_.end()) at->second.group_known = true;
+    tell(ExchangeReport{.exchange = exchange, .load = load});
+}
+
+void Gatekeeper::connection_lost(const ExchangeId& exchange) {
+    std::vector<CallId> open;
+    for (const auto& [id, call] : calls_)
+        if (call.phase == Phase::out && call.at == exchange) open.push_back(id);
+    for (const CallId& id : open)
+        if (const auto at = calls_.find(id); at != calls_.end() && at->second.phase == Phase::out)
+            end_attempt(at, Outcome::reset, Cause::none, {});
+}
+
+void Gatekeeper::process_dead(const ExchangeId& exchange) {
+    cut_standing(exchange);
+}
+
+void Gatekeeper::cut_standing(const ExchangeId& exchange) {
+    std::vector<CallId> standing;
+    for (const auto& [id, call] : calls_)
+        if (call.phase == Phase::standing && call.at == exchange) standing.push_back(id);
+    for (const CallId& id : standing)
+        if (const auto at = calls_.find(id); at != calls_.end()) end_standing(at, Outcome::reset, {}, true);
+}
+
+// ---- The list --------------------------------------------------------------------------------------
+
+void Gatekeeper::list(const ListEvent& event) {
+    ++counters_.list_events;
+    ExchangeList told{.kind = event.kind, .version = event.version, .entries = {}};
+    std::set<ExchangeId> dead;
+    if (event.kind != ListKind::changes)
+        for (auto& [id, x] : exchanges_) x.state = ExchangeState::gone;  // unless it is in the list
+    for (const ListedExchange& listed : event.entries) {
+        const ExchangeEntry& e = listed.entry;
+        told.entries.push_back(e);
+        const auto [at, fresh] = exchanges_.try_emplace(e.exchange);
+        Exchange& x = at->second;
+        // A fresh start of the same machine: its process has died, and its calls with it.
+        if (!fresh && x.started != e.started) dead.insert(e.exchange);
+        x.state = e.state;
+        x.started = e.started;
+        x.number = e.number;
+    }
+    for (const auto& [id, x] : exchanges_)
+        if (x.state == ExchangeState::gone) dead.insert(id);
+    tell(std::move(told));
+    for (const ExchangeId& id : dead) cut_standing(id);
+    std::erase_if(exchanges_, [](const auto& known) { return known.second.state == ExchangeState::gone; });
+}
+
+}  // namespace garnetbeam::net
--- /dev/null
+++ b/src/net/gatekeeper.hpp
@@ -0,0 +1,138 @@
+// The table of calls and attempts: turns what callers, carrier switches and the list say into the module's
+// events, and its actions into answers and set-ups. Makes no decision, knows no codec and no socket, and
+// reads no clock: the time comes with `Time`, and the host wakes it at next_due().
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "counters.hpp"
+#include "protocol/signals.hpp"
+
+namespace garnetbeam::net {
+
+class Gatekeeper final : public CallerEvents, public SwitchEvents {
+   public:
+    using Time = std::function<Instant()>;
+
+    Gatekeeper(const Settings& settings, std::uint64_t seed, Time time, Switches& switches,
+               Counters& counters);
+
+    // Whoever runs the timers hears of each earlier moment.
+    void on_schedule(std::function<void(Instant)> earlier) { earlier_ = std::move(earlier); }
+    void on_note(std::function<void(const std::string&)> note) { note_ = std::move(note); }
+
+    void list(const ListEvent& event);
+    void run_due();
+
+    // From the front's tests on: nothing new is wanted.
+    void leave() { leaving_ = true; }
+    std::size_t unanswered() const { return unanswered_; }
+    std::size_t calls() const { return calls_.size(); }
+    // Every call still without its final answer gets it now.
+    void refuse_all();
+
+    void offered(CallerLink& link, const Offer& offer) override;
+    void released(const CallId& call) override;
+    bool ready() const override;
+    void caller_up(CallerLink& link) override;
+    void caller_gone(CallerLink& link) override;
+
+    void stands(const ExchangeId& at, const CallId& call, std::string_view description) override;
+    void ended(const ExchangeId& at, const CallId& call, Outcome outcome, Cause cause,
+               const LoadReport& load) override;
+    void group_state(const ExchangeId& at, const LoadReport& load) override;
+    void connection_lost(const ExchangeId& at) override;
+    void process_dead(const ExchangeId& at) override;
+
+   private:
+    enum class Phase { waiting, out, standing };
+    struct Call {
+        CallerLink* link = nullptr;  // the connection that it came on, while that is open
+        Phase phase = Phase::waiting;
+        bool transit = false;
+        std::string service_class, number;
+        Description description;
+        int attempts = 0;
+        ExchangeId at;  // of the attempt that is out, or of the standing call
+        Instant sent{};
+        Instant not_before{};
+        Instant answer_by{};
+    };
+    using Calls = std::map<CallId, Call>;
+
+    struct Exchange {
+        ExchangeState state = ExchangeState::ready;
+        Instant started{};
+        int number = kNowhere;
+        bool group_known = false;
+    };
+
+    struct ModuleTimer {
+        std::int64_t token;
+    };
+    struct AttemptTimeOut {
+        CallId call;
+        int attempt;
+    };
+    struct AnswerDue {
+        CallId call;
+    };
+    using Due = std::variant<ModuleTimer, AttemptTimeOut, AnswerDue>;
+
+    // Tells the module, carries out what it says, and goes on with what comes of that.
+    void tell(Event event);
+    void later(Event event) { events_.push_back(std::move(event)); }
+    void schedule(Instant at, Due due);
+    void due(const ModuleTimer& timer);
+    void due(const AttemptTimeOut& timer);
+    void due(const AnswerDue& timer);
+
+    void act(const SetUp& action);
+    void act(const Refuse& action);
+    void act(const Fail& action);
+    void act(const Cancel& action);
+    void act(const SetTimer& action);
+    void act(const Note& action);
+    // Settings of this protocol never allow these, or the feed does it unasked.
+    void act(const Probe&) {}
+    void act(const TellPeers&) {}
+    void act(const FollowList&) {}
+    void act(const AskList&) {}
+    void act(const CloseIdle&) {}
+
+    bool may_set_up(const Call& call, const ExchangeId& at) const;
+    void end_attempt(Calls::iterator at, Outcome outcome, Cause cause, const LoadReport& load);
+    void end_standing(Calls::iterator at, Outcome outcome, const LoadReport& load, bool tell_caller);
+    void final_answer(const CallId& call, Ending ending);
+    void abandon(Calls::iterator at);
+    void release_caller(const CallId& call, CallerLink* link, Ending ending);
+    void cut_standing(const ExchangeId& at);
+
+    Settings settings_;
+    CallControl control_;
+    Time time_;
+    Switches& switches_;
+    Counters& counters_;
+    std::function<void(Instant)> earlier_;
+    std::function<void(const std::string&)> note_;
+
+    Calls calls_;
+    std::size_t unanswered_ = 0;
+    std::map<ExchangeId, Exchange> exchanges_;
+    std::vector<CallerLink*> links_;
+    std::vector<std::pair<CallId, Ending>> owed_;  // releases for which no caller's connection was open
+    std::multimap<Instant, Due> due_;
+    std::deque<Event> events_;
+    std::vector<Action> actions_;
+    bool telling_ = false;
+    Instant started_{};
+    bool leaving_ = false;
+};
+
+}  // namespace garnetbeam::net
--- /dev/null
+++ b/src/net/servers.hpp
@@ -0,0 +1,38 @@
+// The carrier switches: one connection to each that the list names, kept up and dialled again.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <map>
+
+#include "net/connection.hpp"
+#include "protocol/signals.hpp"
+#include "protocol/switches.hpp"
+
+namespace garnetbeam::net {
+
+class Servers final : public Switches {
+   public:
+    Servers(asio::io_context& io, Duration connect_time_out, Counters& counters);
+    ~Servers();
+
+    void report_to(SwitchEvents& events) { events_ = &events; }
+    void list(const ListEvent& event);
+    void stop();
+    bool idle() const;  // all that was to be written has been
+
+    void set_up(const ExchangeId& at, const Forward& forward) override;
+    void give_up(const ExchangeId& at, const CallId& call) override;
+    void release(const ExchangeId& at, const CallId& call) override;
+
+   private:
+    class Peer;
+    void drop(const ExchangeId& id);
+
+    asio::io_context& io_;
+    Duration connect_time_out_;
+    Counters& counters_;
+    SwitchEvents* events_ = nullptr;
+    std::map<ExchangeId, std::shared_ptr<Peer>> peers_;
+};
+
+}  // namespace garnetbeam::net
--- /dev/null
+++ b/src/protocol/callers.cpp
@@ -0,0 +1,91 @@
+#include "protocol/callers.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace garnetbeam::protocol {
+namespace {
+
+constexpr std::int64_t kLongestPatienceMs = 3'600'000;
+
+int small(std::optional<std::int64_t> value, int otherwise) {
+    if (!value || *value < -1 || *value > std::numeric_limits<int>::max()) return otherwise;
+    return static_cast<int>(*value);
+}
+
+std::uint8_t cause_of(Ending ending) {
+    switch (ending) {
+        case Ending::refused:
+            return cause::kNoCircuit;
+        case Ending::failed:
+            return cause::kFault;
+        case Ending::cut:
+            return cause::kReset;
+        case Ending::ended:
+            break;
+    }
+    return cause::kGivenUp;
+}
+
+}  // namespace
+
+bool CallerSession::fed(std::size_t bytes) {
+    inbox_.filled(bytes);
+    for (Message message;;) {
+        switch (inbox_.next(message)) {
+            case Inbox::Next::more:
+                return true;
+            case Inbox::Next::malformed:
+                ++counters_.malformed;
+                return false;
+            case Inbox::Next::message:
+                take(message);
+        }
+    }
+}
+
+void CallerSession::take(const Message& message) {
+    switch (message.type) {
+        case Type::set_up:
+            return offer(message);
+        case Type::release:
+            // The release heard goes first: it belongs to nobody's call table.
+            out_.send(FrameBuilder(Type::release_heard, message.call()).done());
+            return events_.released(message.call());
+        case Type::test:
+            ++counters_.tests;
+            return out_.send(FrameBuilder(Type::test_result, message.call()).cause(events_.ready()).done());
+        default:
+            ++counters_.ignored;
+    }
+}
+
+void CallerSession::offer(const Message& message) {
+    Offer offer;
+    offer.call = message.call();
+    offer.service_class = message.text(Code::service_class);
+    offer.number = message.text(Code::number);
+    offer.description = message.text(Code::description);
+    offer.redial = message.text(Code::redial) == "1";
+    const auto patience = to_whole(message.text(Code::patience)).value_or(0);
+    offer.patience = std::chrono::milliseconds(std::clamp<std::int64_t>(patience, 0, kLongestPatienceMs));
+    for_each_figure(message.text(Code::figures), [&offer](std::string_view name, std::string_view value) {
+        const auto whole = to_whole(value);
+        if (name == "dest") offer.destination = small(whole, kNowhere);
+        if (name == "width") offer.width = small(whole, 0);
+        if (name == "via") offer.via = small(whole, kNowhere);
+        if (name == "transit") offer.transit = whole == 1;
+        if (name == "again") offer.again = whole == 1;
+    });
+    events_.offered(*this, offer);
+}
+
+void CallerSession::answer(const CallId& call, Description description) {
+    out_.send(FrameBuilder(Type::answer, call).done(std::move(description)));
+}
+
+void CallerSession::release(const CallId& call, Ending ending) {
+    out_.send(FrameBuilder(Type::release, call).cause(cause_of(ending)).done());
+}
+
+}  // namespace garnetbeam::protocol
--- /dev/null
+++ b/src/protocol/callers.hpp
@@ -0,0 +1,42 @@
+// The caller's side of the binary protocol: a connection's bytes in, events to the call table, and the call
+// table's answers as messages. Knows no socket.
+#pragma once
+
+#include "counters.hpp"
+#include "protocol/codec.hpp"
+#include "protocol/signals.hpp"
+
+namespace garnetbeam::protocol {
+
+class CallerSession final : public CallerLink {
+   public:
+    // Where messages to the caller go.
+    class Out {
+       public:
+        virtual void send(Frame frame) = 0;
+
+       protected:
+        ~Out() = default;
+    };
+
+    CallerSession(CallerEvents& events, Out& out, Counters& counters)
+        : events_(events), out_(out), counters_(counters) {}
+
+    std::span<char> space() { return inbox_.space(); }
+    // Takes what was read into space(). False: malformed, the connection is to be closed.
+    bool fed(std::size_t bytes);
+
+    void answer(const CallId& call, Description description) override;
+    void release(const CallId& call, Ending ending) override;
+
+   private:
+    void take(const Message& message);
+    void offer(const Message& message);
+
+    CallerEvents& events_;
+    Out& out_;
+    Counters& counters_;
+    Inbox inbox_;
+};
+
+}  // namespace garnetbeam::protocol
--- /dev/null
+++ b/src/protocol/codec.cpp
@@ -0,0 +1,170 @@
+#include "protocol/codec.hpp"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cmath>
+#include <cstring>
+
+namespace garnetbeam::protocol {
+namespace {
+
+constexpr std::size_t kRoom = 32 * 1024;  // two of the longest messages
+
+std::size_t big_endian(const char* at) {
+    return static_cast<std::size_t>(static_cast<unsigned char>(at[0])) << 8 |
+           static_cast<unsigned char>(at[1]);
+}
+
+void put_big_endian(std::string& to, std::size_t at, std::size_t value) {
+    to[at] = static_cast<char>(value >> 8);
+    to[at + 1] = static_cast<char>(value & 0xFF);
+}
+
+// Whether the parameters follow one another up to the message's last byte.
+bool whole(std::string_view parameters) {
+    while (!parameters.empty()) {
+        if (parameters.size() < kParameterHead) return false;
+        const std::size_t length = kParameterHead + big_endian(parameters.data() + 1);
+        if (parameters.size() < length) return false;
+        parameters.remove_prefix(length);
+    }
+    return true;
+}
+
+int hex_digit(char c) {
+    if (c >= '0' && c <= '9') return c - '0';
+    if (c >= 'a' && c <= 'f') return c - 'a' + 10;
+    return 0;
+}
+
+}  // namespace
+
+std::optional<std::string_view> Message::find(Code code) const {
+    for (std::string_view rest = parameters; !rest.empty();) {
+        const std::size_t length = big_endian(rest.data() + 1);
+        if (static_cast<std::uint8_t>(rest[0]) == static_cast<std::uint8_t>(code))
+            return rest.substr(kParameterHead, length);
+        rest.remove_prefix(kParameterHead + length);
+    }
+    return std::nullopt;
+}
+
+std::uint8_t Message::cause() const {
+    const std::string_view value = text(Code::cause);
+    return value.empty() ? std::uint8_t{0} : static_cast<std::uint8_t>(value[0]);
+}
+
+CallId Message::call() const {
+    CallId text;
+    text.reserve(2 * id.size());
+    for (const char c : id)
+        for (const int nibble : {static_cast<unsigned char>(c) >> 4, c & 15})
+            text += "0123456789abcdef"[nibble];
+    return text;
+}
+
+std::span<char> Inbox::space() {
+    if (bytes_.empty()) bytes_.resize(kRoom);
+    if (begin_ > 0) {
+        std::memmove(bytes_.data(), bytes_.data() + begin_, end_ - begin_);
+        end_ -= begin_;
+        begin_ = 0;
+    }
+    return {bytes_.data() + end_, bytes_.size() - end_};
+}
+
+void Inbox::filled(std::size_t bytes) {
+    end_ += bytes;
+}
+
+Inbox::Next Inbox::next(Message& message) {
+    const std::size_t held = end_ - begin_;
+    if (held < kLengthBytes) return Next::more;
+    const char* at = bytes_.data() + begin_;
+    const std::size_t length = big_endian(at);
+    // Judged by the length alone: a peer that announces too much must not be waited for.
+    if (length < kHeadBytes || length + kLengthBytes > kLongestMessage) return Next::malformed;
+    if (held < kLengthBytes + length) return Next::more;
+    const std::string_view body(at + kLengthBytes, length);
+    message.type = static_cast<Type>(static_cast<std::uint8_t>(body[0]));
+    message.id = body.substr(1, kIdBytes);
+    message.parameters = body.substr(kHeadBytes);
+    if (!whole(message.parameters)) return Next::malformed;
+    begin_ += kLengthBytes + length;
+    return Next::message;
+}
+
+FrameBuilder::FrameBuilder(Type type, const CallId& call) : head_(kLengthBytes, '\0') {
+    head_ += static_cast<char>(type);
+    for (std::size_t i = 0; i < kIdBytes; ++i) {
+        const bool there = 2 * i + 1 < call.size();
+        head_ += static_cast<char>(there ? hex_digit(call[2 * i]) * 16 + hex_digit(call[2 * i + 1]) : 0);
+    }
+}
+
+FrameBuilder& FrameBuilder::text(Code code, std::string_view value) {
+    const std::size_t at = head_.size();
+    head_.append(kParameterHead, static_cast<char>(code));
+    put_big_endian(head_, at + 1, value.size());
+    head_.append(value);
+    return *this;
+}
+
+FrameBuilder& FrameBuilder::cause(std::uint8_t value) {
+    const char byte = static_cast<char>(value);
+    return text(Code::cause, {&byte, 1});
+}
+
+Frame FrameBuilder::done() {
+    return close(nullptr);
+}
+
+Frame FrameBuilder::done(std::shared_ptr<const std::string> description) {
+    if (!description) return close(nullptr);
+    const std::size_t at = head_.size();
+    head_.append(kParameterHead, static_cast<char>(Code::description));
+    put_big_endian(head_, at + 1, description->size());
+    return close(std::move(description));
+}
+
+Frame FrameBuilder::close(std::shared_ptr<const std::string> tail) {
+    Frame frame{std::move(head_), std::move(tail)};
+    put_big_endian(frame.head, 0, frame.size() - kLengthBytes);
+    return frame;
+}
+
+std::optional<double> to_number(std::string_view text) {
+    double value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc{} || end != text.data() + text.size() || !std::isfinite(value))
+        return std::nullopt;
+    return value;
+}
+
+std::optional<std::int64_t> to_whole(std::string_view text) {
+    std::int64_t value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc{} || end != text.data() + text.size()) return std::nullopt;
+    return value;
+}
+
+LoadReport read_report(std::string_view text) {
+    LoadReport load;
+    for_each_figure(text, [&load](std::string_view name, std::string_view value) {
+        const auto number = to_number(value);
+        if (!number) return;
+        const auto circuits = [&] { return static_cast<int>(std::lround(std::clamp(*number, -1.0, 1e9))); };
+        if (name == "x0" || name == "free") load.free_circuits = circuits();
+        if (name == "x1" || name == "size") load.group_size = circuits();
+        if (name == "inflight" || name == "busy_reqs") load.busy_messages = *number;
+        if (name == "queue" || name == "pending") load.waiting_messages = *number;
+        if (name == "util" || name == "cpu_share") load.utilisation = *number;
+        if (name == "latency_ms" || name == "svc_ms") load.wait_ms = *number;
+        if (name == "qps" || name == "can_take") load.can_take_per_second = *number;
+        if (name == "eps" || name == "hold_back") load.hold_back_share = *number;
+    });
+    return load;
+}
+
+}  // namespace garnetbeam::protocol
--- /dev/null
+++ b/src/protocol/codec.hpp
@@ -0,0 +1,118 @@
+// The binary messages of callers and carrier switches. A connection's bytes are cut into messages in place;
+// what a message holds is given as views into these bytes.
+#pragma once
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "garnetbeam/call_control.hpp"
+
+namespace garnetbeam::protocol {
+
+enum class Type : std::uint8_t {
+    set_up = 1,
+    progress = 6,
+    answer = 9,
+    release = 12,
+    release_heard = 16,
+    group_state = 43,
+    test = 52,
+    test_result = 53,
+};
+
+enum class Code : std::uint8_t {
+    service_class = 16,
+    patience = 18,
+    redial = 22,
+    number = 24,
+    figures = 26,
+    note = 30,
+    report = 34,
+    cause = 44,
+    description = 46,
+};
+
+namespace cause {
+constexpr std::uint8_t kGivenUp = 16, kBusy = 17, kNoCircuit = 34, kReset = 41, kCongestion = 42, kFault = 47,
+                       kTimer = 102, kMissing = 96;
+}
+
+constexpr std::size_t kLengthBytes = 2;
+constexpr std::size_t kIdBytes = 8;
+constexpr std::size_t kHeadBytes = 1 + kIdBytes;    // counted by the length, before the parameters
+constexpr std::size_t kLongestMessage = 16 * 1024;  // all of it, the length too
+constexpr std::size_t kParameterHead = 1 + 2;
+
+// One message in place. Made only by Inbox, which has checked that its parameters fill it exactly.
+struct Message {
+    Type type{};
+    std::string_view id;          // eight bytes
+    std::string_view parameters;  // one after the other
+
+    std::optional<std::string_view> find(Code code) const;
+    std::string_view text(Code code) const { return find(code).value_or(std::string_view{}); }
+    std::uint8_t cause() const;  // nought where there is none
+    CallId call() const;         // 16 hex digits
+};
+
+// The bytes of one connection. Read into space(), tell filled(), then take messages until there is none; a
+// message's views hold until space() is called again.
+class Inbox {
+   public:
+    enum class Next { message, more, malformed };
+
+    std::span<char> space();
+    void filled(std::size_t bytes);
+    Next next(Message& message);
+
+   private:
+    std::vector<char> bytes_;
+    std::size_t begin_ = 0, end_ = 0;
+};
+
+// A message on its way out: its head, and a description behind it that is not copied.
+struct Frame {
+    std::string head;
+    std::shared_ptr<const std::string> tail;
+
+    std::size_t size() const { return head.size() + (tail ? tail->size() : 0); }
+};
+
+class FrameBuilder {
+   public:
+    FrameBuilder(Type type, const CallId& call);
+    FrameBuilder& text(Code code, std::string_view value);
+    FrameBuilder& cause(std::uint8_t value);
+    Frame done();
+    Frame done(std::shared_ptr<const std::string> description);
+
+   private:
+    Frame close(std::shared_ptr<const std::string> tail);
+    std::string head_;
+};
+
+// The pairs of a text such as `dest:2;width:1`.
+template <class F>
+void for_each_figure(std::string_view text, F&& found) {
+    while (!text.empty()) {
+        const std::string_view pair = text.substr(0, text.find(';'));
+        text.remove_prefix(std::min(text.size(), pair.size() + 1));
+        if (const auto colon = pair.find(':'); colon != std::string_view::npos)
+            found(pair.substr(0, colon), pair.substr(colon + 1));
+    }
+}
+
+std::optional<double> to_number(std::string_view text);
+std::optional<std::int64_t> to_whole(std::string_view text);
+
+// A report such as `x0:12;x1:40`; names that are not known are passed over.
+LoadReport read_report(std::string_view text);
+
+}  // namespace garnetbeam::protocol
--- /dev/null
+++ b/src/protocol/feed.cpp
@@ -0,0 +1,96 @@
+#include "protocol/feed.hpp"
+
+#include <algorithm>
+#include <cstring>
+
+namespace garnetbeam::protocol {
+namespace {
+
+constexpr std::size_t kRead = 16 * 1024;
+constexpr std::size_t kLongestLine = 4 * 1024 * 1024;  // a whole list of many thousand exchanges
+
+ExchangeState read_state(const std::string& state) {
+    if (state == "active") return ExchangeState::ready;
+    if (state == "leaving") return ExchangeState::draining;
+    if (state == "left") return ExchangeState::gone;
+    json::bad("unknown 'state' '" + state + "'");
+}
+
+ListedExchange read_entry(const json::Value& server) {
+    if (!server.IsObject()) json::bad("'servers' must hold objects");
+    ListedExchange listed;
+    ExchangeEntry& e = listed.entry;
+    e.exchange = json::need<std::string>(server, "id");
+    e.state = read_state(json::need<std::string>(server, "state"));
+    e.number = json::take(server, "cell", kNowhere);
+    e.zone = json::take<std::string>(server, "zone", "");
+    e.kind = json::take<std::string>(server, "kind", "");
+    e.size = json::take(server, "weight", 1.0);
+    e.started = std::chrono::milliseconds(json::take<std::int64_t>(server, "started_ms", 0));
+    listed.address = json::take<std::string>(server, "addr", "");
+    if (listed.address.empty() && e.state != ExchangeState::gone) json::missing("addr");
+    return listed;
+}
+
+}  // namespace
+
+ListEvent read_list_event(const json::Value& event) {
+    ListEvent read;
+    if (event.IsNumber()) {  // a bare number
+        read.number = json::value<std::int64_t>(event, "n");
+        return read;
+    }
+    if (!event.IsObject()) json::bad("an event must be an object");
+    read.number = json::need<std::int64_t>(event, "n");
+    const json::Value* members = json::find(event, "members");
+    if (!members) return read;
+    if (!members->IsObject()) json::bad_key("members", "an object");
+    read.has_list = true;
+    read.version = json::take<std::int64_t>(*members, "version", 0);
+    read.kind = json::take(*members, "full", false) ? ListKind::complete : ListKind::changes;
+    for (const json::Value& server : json::part(*members, "servers", true).GetArray())
+        read.entries.push_back(read_entry(server));
+    return read;
+}
+
+std::string FeedSession::subscribe() {
+    end_ = 0;
+    return "SUB " + std::to_string(last_) + "\n";
+}
+
+std::span<char> FeedSession::space() {
+    if (bytes_.size() < end_ + kRead) bytes_.resize(end_ + kRead);
+    return {bytes_.data() + end_, bytes_.size() - end_};
+}
+
+bool FeedSession::fed(std::size_t bytes) {
+    end_ += bytes;
+    std::string_view rest(bytes_.data(), end_);
+    for (auto at = rest.find('\n'); at != std::string_view::npos; at = rest.find('\n')) {
+        if (!line(rest.substr(0, at))) return false;
+        rest.remove_prefix(at + 1);
+    }
+    std::memmove(bytes_.data(), rest.data(), rest.size());
+    end_ = rest.size();
+    return end_ <= kLongestLine;
+}
+
+bool FeedSession::line(std::string_view text) {
+    if (!text.empty() && text.back() == '\r') text.remove_suffix(1);
+    if (text.empty()) return true;
+    rapidjson::Document document;
+    document.Parse(text.data(), text.size());
+    if (document.HasParseError()) return false;
+    try {
+        const ListEvent event = read_list_event(document);
+        // After a resumption events may come twice; a bare number is a sign of life and proves nothing read.
+        if (!event.has_list || event.number <= last_) return true;
+        last_ = event.number;
+        take_(event);
+    } catch (const json::BadInput&) {
+        return false;
+    }
+    return true;
+}
+
+}  // namespace garnetbeam::protocol
--- /dev/null
+++ b/src/protocol/feed.hpp
@@ -0,0 +1,41 @@
+// The control feed: lines of JSON in, numbered changes to the list of carrier switches out.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "config/json.hpp"
+#include "protocol/signals.hpp"
+
+namespace garnetbeam::protocol {
+
+// One numbered event, as on the feed and in the configuration. Throws json::BadInput.
+ListEvent read_list_event(const json::Value& event);
+
+class FeedSession {
+   public:
+    using Take = std::function<void(const ListEvent&)>;
+
+    // `last` is the number of the last event that is known already.
+    FeedSession(std::int64_t last, Take take) : take_(std::move(take)), last_(last) {}
+
+    std::int64_t last() const { return last_; }
+    std::string subscribe();  // the line to write on a new connection; what was read by halves is forgotten
+    std::span<char> space();
+    // Takes what was read into space(). False: malformed, the connection is to be closed.
+    bool fed(std::size_t bytes);
+
+   private:
+    bool line(std::string_view text);
+
+    Take take_;
+    std::int64_t last_;
+    std::vector<char> bytes_;
+    std::size_t end_ = 0;
+};
+
+}  // namespace garnetbeam::protocol
--- /dev/null
+++ b/src/protocol/switches.hpp
@@ -0,0 +1,32 @@
+// The carrier switch's side of the binary protocol: a connection's bytes in, events to the call table, and
+// set-ups and releases as messages. Knows no socket.
+#pragma once
+
+#include "counters.hpp"
+#include "protocol/codec.hpp"
+#include "protocol/signals.hpp"
+
+namespace garnetbeam::protocol {
+
+class SwitchSession {
+   public:
+    SwitchSession(ExchangeId at, SwitchEvents& events, Counters& counters)
+        : at_(std::move(at)), events_(events), counters_(counters) {}
+
+    std::span<char> space() { return inbox_.space(); }
+    // Takes what was read into space(). False: malformed, the connection is to be closed.
+    bool fed(std::size_t bytes);
+
+    static Frame set_up(const Forward& forward);
+    static Frame release(const CallId& call);  // before the answer it gives the set-up up
+
+   private:
+    void take(const Message& message);
+
+    ExchangeId at_;
+    SwitchEvents& events_;
+    Counters& counters_;
+    Inbox inbox_;
+};
+
+}  // namespace garnetbeam::protocol
--- a/src/wire/host.cpp
+++ b/src/wire/host.cpp
@@ -1,94 +1,18 @@
 #include "host.hpp"
 
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+
+#include <algorithm>
 #include <cmath>
-#include <nlohmann/json.hpp>
+
+#include "config/settings.hpp"
 
 namespace garnetbeam::wire {
 namespace {
 
-using Json = nlohmann::json;
-
-[[noreturn]] void bad(const std::string& what) {
-    throw BadInput(what);
-}
-
-[[noreturn]] void bad_key(const char* key, const char* must) {
-    std::string what("'");
-    what.append(key).append("' must be ").append(must);
-    bad(what);
-}
-
-[[noreturn]] void missing(const char* key) {
-    std::string what("missing '");
-    bad(what.append(key).append("'"));
-}
-
-const Json* find(const Json& object, const char* key) {
-    const auto at = object.find(key);
-    return at == object.end() || at->is_null() ? nullptr : &*at;
-}
-
-template <class T>
-constexpr const char* kind_of() {
-    if constexpr (std::is_same_v<T, bool>) return "true or false";
-    if constexpr (std::is_same_v<T, std::string>) return "text";
-    return std::is_integral_v<T> ? "a whole number" : "a number";
-}
-
-template <class T>
-T value(const Json& json, const char* key) {
-    bool fits = json.is_number();
-    if constexpr (std::is_same_v<T, bool>) {
-        fits = json.is_boolean();
-    } else if constexpr (std::is_same_v<T, std::string>) {
-        fits = json.is_string();
-    } else if constexpr (std::is_integral_v<T>) {
-        fits = json.is_number_integer();
-        if (!fits && json.is_number_float()) fits = json.get<double>() == std::floor(json.get<double>());
-        fits = fits && std::abs(json.get<double>()) <= static_cast<double>(std::numeric_limits<T>::max());
-    }
-    if (!fits) bad_key(key, kind_of<T>());
-    return json.get<T>();
-}
-
-template <class T>
-T need(const Json& object, const char* key) {
-    const Json* at = find(object, key);
-    if (!at) missing(key);
-    return value<T>(*at, key);
-}
-
-template <class T>
-T take(const Json& object, const char* key, T otherwise) {
-    const Json* at = find(object, key);
-    return at ? value<T>(*at, key) : otherwise;
-}
-
-const Json& part(const Json& object, const char* key, bool array) {
-    const Json* at = find(object, key);
-    if (!at) missing(key);
-    if (array ? !at->is_array() : !at->is_object()) bad_key(key, array ? "an array" : "an object");
-    return *at;
-}
-
-const Json& part_or_empty(const Json& object, const char* key, bool array) {
-    static const Json kObject = Json::object();
-    static const Json kArray = Json::array();
-    return find(object, key) ? part(object, key, array) : (array ? kArray : kObject);
-}
-
-Duration micros(double seconds) {
-    if (!(std::abs(seconds) < 1e12)) bad("a time is out of range");
-    return Duration(std::llround(seconds * 1e6));
-}
-
-Duration need_time(const Json& object, const char* key) {
-    return micros(need<double>(object, key));
-}
-
-Duration time_or(const Json& object, const char* key, double otherwise = 0.0) {
-    return micros(take(object, key, otherwise));
-}
+using namespace json;
+using Json = json::Value;
 
 double seconds(Duration time) {
     return static_cast<double>(time.count()) / 1e6;
@@ -101,89 +25,6 @@
     bad(std::string("unknown ") + what + " '" + name + "'");
 }
 
-Settings read_settings(const Json& facts) {
-    Settings s;
-    const Json& kind = part_or_empty(facts, "family_info", false);
-    const Json& limits = part(facts, "limits", false);
-    const Json& rules = part(facts, "obligations", false);
-    const Json& prices = part_or_empty(facts, "prices", false);
-    const Json& report = part_or_empty(facts, "report", false);
-
-    s.own_exchange = take(kind, "this_node", kNowhere);
-    s.own_index = need<int>(facts, "self_index");
-    s.controls = need<int>(facts, "fleet_size");
-    s.own_zone = take<std::string>(facts, "zone", "");
-    s.pools = take<std::string>(kind, "layout", "mesh") == "pools";
-    s.over_share_worth = take(facts, "over_share_worth", 1.0);
-    s.step = time_or(facts, "step_s");
-
-    const Json& holds = part_or_empty(kind, "class_hold_s", true);
-    const Json& widths = part_or_empty(kind, "class_width", true);
-    const Json& skills = part_or_empty(kind, "skilled_pools", true);
-    for (const Json& grade : part(facts, "grades", true)) {
-        if (!grade.is_object()) bad("'grades' must hold objects");
-        const std::size_t i = s.classes.size();
-        ClassSettings c;
-        c.name = need<std::string>(grade, "name");
-        c.worth = take(grade, "points", 1.0);
-        c.late_worth = take(grade, "late_worth", 0.0);
-        c.aim = need_time(grade, "aim_s");
-        c.deadline = need_time(grade, "deadline_s");
-        c.aim_stretch = take(grade, "aim_stretch", 0.0);
-        if (i < widths.size()) c.width = value<int>(widths[i], "class_width");
-        if (i < holds.size()) c.holding_time = micros(value<double>(holds[i], "class_hold_s"));
-        const std::string repeat = take<std::string>(grade, "repeat", "retryable");
-        c.repeat = repeat == "retryable" ? Repeat::safe
-                   : repeat == "dedup"   ? Repeat::discarded_by_group
-                                         : Repeat::never;
-        const std::string scope = take<std::string>(grade, "group", "all");
-        c.repeat_scope = scope == "zone"   ? RepeatScope::zone
-                         : scope == "cell" ? RepeatScope::exchange
-                                           : RepeatScope::all;
-        c.repeat_window = time_or(grade, "window_s");
-        if (i < skills.size() && skills[i].is_array())
-            for (const Json& pool : skills[i]) c.pools.push_back(value<int>(pool, "skilled_pools"));
-        s.classes.push_back(std::move(c));
-    }
-    if (s.classes.empty()) bad("'grades' is empty");
-    for (const Json& party : part_or_empty(facts, "parties", true)) {
-        if (!party.is_object()) bad("'parties' must hold objects");
-        s.tenants.push_back(
-            {need<std::string>(party, "name"), take(party, "quota_per_s", 0.0), take(party, "portion", 0.0)});
-    }
-
-    s.max_attempts = take(limits, "send_cap", 1);
-    s.max_open_calls = take(limits, "open_cap", 0);
-    s.may_cancel = take(limits, "cancel", false);
-    s.may_probe = take(limits, "probes", false);
-    s.may_message = take(limits, "peers", false);
-    s.may_advise_pause = take(limits, "retry_after", false);
-    s.may_duplicate = take(limits, "may_duplicate", false);
-    s.max_pause = time_or(limits, "max_retry_after_s");
-
-    s.list_on_request = take<std::string>(facts, "discovery", "pushed") == "on_request";
-    s.ask_list_within = time_or(rules, "must_ask_in_s");
-    s.callers_mark_redials = take(part_or_empty(facts, "client_habits", false), "marks_retry", false);
-    s.gives_advice = take(kind, "hints_route", false);
-    s.tells_wait = take(kind, "retry_hint", false);
-    s.set_up_repeat = time_or(kind, "resend_s");
-    const std::string source = take<std::string>(report, "source", "off");
-    s.reports_load = source == "inline";
-    s.reports_on_probe = source != "off";
-
-    s.answer_grace = time_or(rules, "grace_to_answer_s");
-    s.drain_grace = time_or(rules, "drain_grace_s");
-    s.release_wait = time_or(kind, "release_s");
-    s.cold_from = take(rules, "cold_from", 1.0);
-    s.warm_within = time_or(rules, "ramp_time_s");
-    s.fall_multiple = take(rules, "fall_multiple", 0.0);
-    s.fall_span = time_or(rules, "fall_s");
-    s.prices = {take(prices, "late_fail", 0.0), take(prices, "waste", 0.0),
-                take(prices, "probe", 0.0),     take(prices, "peer", 0.0),
-                take(prices, "discovery", 0.0), take(prices, "cross_zone", 0.0)};
-    return s;
-}
-
 LoadReport read_load(const Json& event) {
     LoadReport load;
     const Json& usage = part_or_empty(event, "usage", false);
@@ -203,8 +44,8 @@
 
 std::vector<ExchangeEntry> read_entries(const Json& census) {
     std::vector<ExchangeEntry> entries;
-    for (const Json& member : part(census, "members_list", true)) {
-        if (!member.is_object()) bad("'members_list' must hold objects");
+    for (const Json& member : part(census, "members_list", true).GetArray()) {
+        if (!member.IsObject()) bad("'members_list' must hold objects");
         ExchangeEntry e;
         e.exchange = need<std::string>(member, "exchange");
         e.number = take(member, "node_no", 0);
@@ -260,31 +101,69 @@
     bad("unknown 'disposition' '" + code + "'");
 }
 
-struct Writer {
-    Json operator()(const SetUp& a) const {
-        return {{"cmd", "assign"},
-                {"xid", a.call},
-                {"exchange", a.exchange},
-                {"max_wait_s", seconds(a.time_out)}};
+using Out = rapidjson::Writer<rapidjson::StringBuffer>;
+
+void put(Out& out, const char* key, const std::string& text) {
+    out.Key(key);
+    out.String(text.data(), static_cast<rapidjson::SizeType>(text.size()));
+}
+
+struct ActionWriter {
+    Out& out;
+
+    void command(const char* name) const {
+        out.Key("cmd");
+        out.String(name);
+    }
+    void command(const char* name, const char* key, const std::string& text) const {
+        command(name);
+        put(out, key, text);
+    }
+    void time(const char* key, Duration time) const {
+        out.Key(key);
+        out.Double(seconds(time));
+    }
+
+    void operator()(const SetUp& a) const {
+        command("assign", "xid", a.call);
+        put(out, "exchange", a.exchange);
+        time("max_wait_s", a.time_out);
+    }
+    void operator()(const Refuse& a) const {
+        command("shed", "xid", a.call);
+        if (a.pause > Duration::zero()) time("pause_s", a.pause);
+    }
+    void operator()(const Fail& a) const { command("give_up", "xid", a.call); }
+    void operator()(const Cancel& a) const {
+        command("recall", "xid", a.call);
+        out.Key("n");
+        out.Int(a.attempt);
     }
-    Json operator()(const Refuse& a) const {
-        Json json{{"cmd", "shed"}, {"xid", a.call}};
-        if (a.pause > Duration::zero()) json["pause_s"] = seconds(a.pause);
-        return json;
+    void operator()(const Probe& a) const { command("health_check", "exchange", a.exchange); }
+    void operator()(const TellPeers& a) const {
+        command("signal");
+        out.Key("dest");
+        if (a.to < 0) {
+            out.Null();
+        } else {
+            out.Int(a.to);
+        }
+        put(out, "blob", write_hex(a.bytes));
     }
-    Json operator()(const Fail& a) const { return {{"cmd", "give_up"}, {"xid", a.call}}; }
-    Json operator()(const Cancel& a) const { return {{"cmd", "recall"}, {"xid", a.call}, {"n", a.attempt}}; }
-    Json operator()(const Probe& a) const { return {{"cmd", "health_check"}, {"exchange", a.exchange}}; }
-    Json operator()(const TellPeers& a) const {
-        return {{"cmd", "signal"}, {"dest", a.to < 0 ? Json() : Json(a.to)}, {"blob", write_hex(a.bytes)}};
+    void operator()(const SetTimer& a) const {
+        command("wake_at");
+        time("delay_s", a.delay);
+        out.Key("ref");
+        out.Int64(a.token);
     }
-    Json operator()(const SetTimer& a) const {
-        return {{"cmd", "wake_at"}, {"delay_s", seconds(a.delay)}, {"ref", a.token}};
+    void operator()(const FollowList& a) const {
+        command("watch");
+        out.Key("on");
+        out.Bool(a.on);
     }
-    Json operator()(const FollowList& a) const { return {{"cmd", "watch"}, {"on", a.on}}; }
-    Json operator()(const AskList&) const { return {{"cmd", "get_list"}}; }
-    Json operator()(const CloseIdle& a) const { return {{"cmd", "hang_up"}, {"exchange", a.exchange}}; }
-    Json operator()(const Note& a) const { return {{"cmd", "record"}, {"msg", a.text}}; }
+    void operator()(const AskList&) const { command("get_list"); }
+    void operator()(const CloseIdle& a) const { command("hang_up", "exchange", a.exchange); }
+    void operator()(const Note& a) const { command("record", "msg", a.text); }
 };
 
 }  // namespace
@@ -303,8 +182,8 @@
             e.width = need<int>(event, "channels");
             if (e.width < 1) bad("'channels' must be 1 or more");
             e.service_class = place(classes, need<std::string>(event, "category"), "'category'");
-            if (const Json* group = find(event, "client_group"); group && group->is_string())
-                e.tenant = place(tenants, group->get<std::string>(), "'client_group'");
+            if (const Json* group = find(event, "client_group"); group && group->IsString())
+                e.tenant = place(tenants, value<std::string>(*group, "client_group"), "'client_group'");
             e.transit = take(event, "transit", false);
             (e.transit ? e.previous : e.advised) = take(event, "hop", kNowhere);
             e.patience = need_time(event, "grace_s");
@@ -363,28 +242,36 @@
 };
 
 std::string Host::reply(const std::string& line) {
-    const Json batch = Json::parse(line, nullptr, false);
-    if (batch.is_discarded()) bad("not JSON");
-    if (!batch.is_object()) bad("a batch must be an object");
+    rapidjson::Document batch;
+    batch.Parse<rapidjson::kParseFullPrecisionFlag>(line.data(), line.size());
+    if (batch.HasParseError()) bad("not JSON");
+    if (!batch.IsObject()) bad("a batch must be an object");
     const Instant now = need_time(batch, "ts_s");
-    Json answer{{"n", need<std::int64_t>(batch, "n")}, {"groups", Json::array()}};
-    for (const Json& group : part(batch, "groups", true)) {
-        if (!group.is_object()) bad("'groups' must hold objects");
+    rapidjson::StringBuffer text;
+    Out out(text);
+    out.StartObject();
+    out.Key("n");
+    out.Int64(need<std::int64_t>(batch, "n"));
+    out.Key("groups");
+    out.StartArray();
+    for (const Json& group : part(batch, "groups", true).GetArray()) {
+        if (!group.IsObject()) bad("'groups' must hold objects");
         const int router = need<int>(group, "router");
         std::vector<Action> actions;
         std::size_t number = 0;
-        for (const Json& event : part(group, "input", true)) {
+        for (const Json& event : part(group, "input", true).GetArray()) {
             std::string cmd = "?";
             try {
-                if (!event.is_object()) bad("an event must be an object");
+                if (!event.IsObject()) bad("an event must be an object");
                 cmd = need<std::string>(event, "cmd");
                 if (cmd == "census") {
                     const int buffer = need<int>(event, "buffer");
                     if (buffer < 0 || buffer > 15) bad("'buffer' must be 0 to 15");
                     lists_[buffer] = read_entries(event);
                 } else if (cmd == "born") {
-                    instances_[router] = std::make_shared<Instance>(
-                        read_settings(part(event, "facts", false)), need<std::uint64_t>(event, "entropy"));
+                    instances_[router] =
+                        std::make_shared<Instance>(config::read_settings(part(event, "facts", false)),
+                                                   need<std::uint64_t>(event, "entropy"));
                 } else {
                     const auto at = instances_.find(router);
                     if (at == instances_.end()) bad("no such instance was born");
@@ -418,11 +305,22 @@
             ++number;
         }
         if (actions.empty()) continue;
-        Json written = Json::array();
-        for (const Action& action : actions) written.push_back(std::visit(Writer{}, action));
-        answer["groups"].push_back({{"router", router}, {"actions", std::move(written)}});
+        out.StartObject();
+        out.Key("router");
+        out.Int(router);
+        out.Key("actions");
+        out.StartArray();
+        for (const Action& action : actions) {
+            out.StartObject();
+            std::visit(ActionWriter{out}, action);
+            out.EndObject();
+        }
+        out.EndArray();
+        out.EndObject();
     }
-    return answer.dump();
+    out.EndArray();
+    out.EndObject();
+    return {text.GetString(), text.GetSize()};
 }
 
 }  // namespace garnetbeam::wire
--- a/src/wire/host.hpp
+++ b/src/wire/host.hpp
@@ -4,18 +4,15 @@
 
 #include <map>
 #include <memory>
-#include <stdexcept>
 #include <string>
 #include <vector>
 
+#include "config/json.hpp"
 #include "garnetbeam/call_control.hpp"
 
 namespace garnetbeam::wire {
 
-// What is wrong with the input, and where, in one line.
-struct BadInput : std::runtime_error {
-    using std::runtime_error::runtime_error;
-};
+using json::BadInput;
 
 class Host {
    public:
