--- a/include/garnetbeam/call_control.hpp
+++ b/include/nettlestall/call_control.hpp
@@ -1,4 +1,4 @@
-// garnetbeam: the call control of one exchange in a mesh of switches.
+// nettlestall: the call control of one exchange in a mesh of switches.
 //
 // The host hands every event to CallControl::handle with its own clock and carries out the actions
 // that come back, in order. Nothing here does I/O, reads a clock or starts a thread.
@@ -12,7 +12,7 @@
 #include <variant>
 #include <vector>
 
-namespace garnetbeam {
+namespace nettlestall {
 
 using Duration = std::chrono::microseconds;
 using Instant = std::chrono::microseconds;  // since an origin of the host's choosing; never runs back
@@ -237,4 +237,4 @@
     std::unique_ptr<Impl> impl_;
 };
 
-}  // namespace garnetbeam
+}  // namespace nettlestall
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -1,4 +1,4 @@
-// Every decision of garnetbeam. Its types, events and actions: include/garnetbeam/call_control.hpp.
+// Every decision of nettlestall. Its types, events and actions: include/nettlestall/call_control.hpp.
 //
 // A call's life: it is offered, the learned tables of its direct group admit or refuse it, it goes direct if
 // there is room, else over the tandem with the most free first-leg circuits above a reserve, else it waits
@@ -18,9 +18,9 @@
 #include <utility>
 #include <vector>
 
-#include "garnetbeam/call_control.hpp"
+#include "nettlestall/call_control.hpp"
 
-namespace garnetbeam {
+namespace nettlestall {
 namespace {
 
 using std::chrono::milliseconds;
@@ -947,4 +947,4 @@
     impl_->handle(now, event, actions);
 }
 
-}  // namespace garnetbeam
+}  // namespace nettlestall
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -7,7 +7,7 @@
 
 #include "protocol/feed.hpp"
 
-namespace garnetbeam::config {
+namespace nettlestall::config {
 namespace {
 
 using namespace json;
@@ -96,4 +96,4 @@
     return c;
 }
 
-}  // namespace garnetbeam::config
+}  // namespace nettlestall::config
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -9,7 +9,7 @@
 #include "config/settings.hpp"
 #include "protocol/signals.hpp"
 
-namespace garnetbeam::config {
+namespace nettlestall::config {
 
 struct Config {
     std::string name;
@@ -30,4 +30,4 @@
 // From the text of the file.
 Config read_config(const std::string& text);
 
-}  // namespace garnetbeam::config
+}  // namespace nettlestall::config
--- a/src/config/json.hpp
+++ b/src/config/json.hpp
@@ -10,9 +10,9 @@
 #include <string>
 #include <type_traits>
 
-#include "garnetbeam/call_control.hpp"
+#include "nettlestall/call_control.hpp"
 
-namespace garnetbeam::json {
+namespace nettlestall::json {
 
 using Value = rapidjson::Value;
 
@@ -108,4 +108,4 @@
     return micros(take(object, key, otherwise));
 }
 
-}  // namespace garnetbeam::json
+}  // namespace nettlestall::json
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-namespace garnetbeam::config {
+namespace nettlestall::config {
 
 using namespace json;
 
@@ -96,4 +96,4 @@
     return {told};
 }
 
-}  // namespace garnetbeam::config
+}  // namespace nettlestall::config
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -2,9 +2,9 @@
 #pragma once
 
 #include "config/json.hpp"
-#include "garnetbeam/call_control.hpp"
+#include "nettlestall/call_control.hpp"
 
-namespace garnetbeam::config {
+namespace nettlestall::config {
 
 struct NetSettings {  // of the sockets, beside the module's own
     Duration connect_time_out{};
@@ -13,4 +13,4 @@
 Settings read_settings(const json::Value& facts);
 NetSettings read_net_settings(const json::Value& facts);
 
-}  // namespace garnetbeam::config
+}  // namespace nettlestall::config
--- a/src/counters.hpp
+++ b/src/counters.hpp
@@ -4,7 +4,7 @@
 #include <cstdint>
 #include <ostream>
 
-namespace garnetbeam {
+namespace nettlestall {
 
 struct Counters {
     std::uint64_t set_ups = 0, transit = 0, redials = 0, repeated = 0;                // taken in
@@ -39,4 +39,4 @@
     return out;
 }
 
-}  // namespace garnetbeam
+}  // namespace nettlestall
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -12,7 +12,7 @@
 #include "net/gatekeeper.hpp"
 #include "net/servers.hpp"
 
-namespace garnetbeam {
+namespace nettlestall {
 namespace {
 
 using namespace std::chrono_literals;
@@ -141,12 +141,12 @@
     return 0;
 }
 
-}  // namespace garnetbeam
+}  // namespace nettlestall
 
 int main() {
     std::signal(SIGPIPE, SIG_IGN);
     try {
-        return garnetbeam::run();
+        return nettlestall::run();
     } catch (const std::exception& problem) {
         std::cerr << "nettlestall: " << problem.what() << '\n';
         return 1;
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -5,7 +5,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-namespace garnetbeam::net {
+namespace nettlestall::net {
 namespace {
 
 constexpr std::chrono::milliseconds kAcceptPause{20};  // after an error such as too many descriptors
@@ -69,4 +69,4 @@
     std::erase(open_, connection);
 }
 
-}  // namespace garnetbeam::net
+}  // namespace nettlestall::net
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -6,7 +6,7 @@
 #include "net/connection.hpp"
 #include "protocol/callers.hpp"
 
-namespace garnetbeam::net {
+namespace nettlestall::net {
 
 class Clients {
    public:
@@ -29,4 +29,4 @@
     std::vector<std::shared_ptr<Connection>> open_;
 };
 
-}  // namespace garnetbeam::net
+}  // namespace nettlestall::net
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -12,7 +12,7 @@
 #include <charconv>
 #include <vector>
 
-namespace garnetbeam::net {
+namespace nettlestall::net {
 namespace {
 
 constexpr std::size_t kMostQueued = 512 * 1024;  // bytes; a far end that reads so little is as good as gone
@@ -112,4 +112,4 @@
     socket.set_option(SocketNumber<IPPROTO_TCP, TCP_KEEPCNT>(3), ignored);
 }
 
-}  // namespace garnetbeam::net
+}  // namespace nettlestall::net
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -16,7 +16,7 @@
 #include "counters.hpp"
 #include "protocol/codec.hpp"
 
-namespace garnetbeam::net {
+namespace nettlestall::net {
 
 namespace asio = boost::asio;
 using asio::ip::tcp;
@@ -60,4 +60,4 @@
 
 void set_up_socket(tcp::socket& socket);
 
-}  // namespace garnetbeam::net
+}  // namespace nettlestall::net
--- a/src/net/feed.cpp
+++ b/src/net/feed.cpp
@@ -4,7 +4,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
 
-namespace garnetbeam::net {
+namespace nettlestall::net {
 namespace {
 
 using Clock = std::chrono::steady_clock;
@@ -79,4 +79,4 @@
     }
 }
 
-}  // namespace garnetbeam::net
+}  // namespace nettlestall::net
--- a/src/net/feed.hpp
+++ b/src/net/feed.hpp
@@ -7,7 +7,7 @@
 #include "net/connection.hpp"
 #include "protocol/feed.hpp"
 
-namespace garnetbeam::net {
+namespace nettlestall::net {
 
 class Feed {
    public:
@@ -30,4 +30,4 @@
     bool stopped_ = false;
 };
 
-}  // namespace garnetbeam::net
+}  // namespace nettlestall::net
--- a/src/net/gatekeeper.cpp
+++ b/src/net/gatekeeper.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-namespace garnetbeam::net {
+namespace nettlestall::net {
 namespace {
 
 using std::chrono::milliseconds;
@@ -393,4 +393,4 @@
     std::erase_if(exchanges_, [](const auto& known) { return known.second.state == ExchangeState::gone; });
 }
 
-}  // namespace garnetbeam::net
+}  // namespace nettlestall::net
--- a/src/net/gatekeeper.hpp
+++ b/src/net/gatekeeper.hpp
@@ -14,7 +14,7 @@
 #include "counters.hpp"
 #include "protocol/signals.hpp"
 
-namespace garnetbeam::net {
+namespace nettlestall::net {
 
 class Gatekeeper final : public CallerEvents, public SwitchEvents {
    public:
@@ -135,4 +135,4 @@
     bool leaving_ = false;
 };
 
-}  // namespace garnetbeam::net
+}  // namespace nettlestall::net
--- a/src/net/servers.cpp
+++ b/src/net/servers.cpp
@@ -7,7 +7,7 @@
 #include <set>
 #include <utility>
 
-namespace garnetbeam::net {
+namespace nettlestall::net {
 namespace {
 
 constexpr Duration kFirstPause = std::chrono::milliseconds(50);  // until it is dialled again, doubling
@@ -185,4 +185,4 @@
     if (const auto peer = peers_.find(at); peer != peers_.end()) peer->second->release(call);
 }
 
-}  // namespace garnetbeam::net
+}  // namespace nettlestall::net
--- a/src/net/servers.hpp
+++ b/src/net/servers.hpp
@@ -8,7 +8,7 @@
 #include "protocol/signals.hpp"
 #include "protocol/switches.hpp"
 
-namespace garnetbeam::net {
+namespace nettlestall::net {
 
 class Servers final : public Switches {
    public:
@@ -35,4 +35,4 @@
     std::map<ExchangeId, std::shared_ptr<Peer>> peers_;
 };
 
-}  // namespace garnetbeam::net
+}  // namespace nettlestall::net
--- a/src/protocol/callers.cpp
+++ b/src/protocol/callers.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <limits>
 
-namespace garnetbeam::protocol {
+namespace nettlestall::protocol {
 namespace {
 
 constexpr std::int64_t kLongestPatienceMs = 3'600'000;
@@ -88,4 +88,4 @@
     out_.send(FrameBuilder(Type::release, call).cause(cause_of(ending)).done());
 }
 
-}  // namespace garnetbeam::protocol
+}  // namespace nettlestall::protocol
--- a/src/protocol/callers.hpp
+++ b/src/protocol/callers.hpp
@@ -6,7 +6,7 @@
 #include "protocol/codec.hpp"
 #include "protocol/signals.hpp"
 
-namespace garnetbeam::protocol {
+namespace nettlestall::protocol {
 
 class CallerSession final : public CallerLink {
    public:
@@ -39,4 +39,4 @@
     Inbox inbox_;
 };
 
-}  // namespace garnetbeam::protocol
+}  // namespace nettlestall::protocol
--- a/src/protocol/codec.cpp
+++ b/src/protocol/codec.cpp
@@ -6,7 +6,7 @@
 #include <cmath>
 #include <cstring>
 
-namespace garnetbeam::protocol {
+namespace nettlestall::protocol {
 namespace {
 
 constexpr std::size_t kRoom = 32 * 1024;  // two of the longest messages
@@ -167,4 +167,4 @@
     return load;
 }
 
-}  // namespace garnetbeam::protocol
+}  // namespace nettlestall::protocol
--- a/src/protocol/codec.hpp
+++ b/src/protocol/codec.hpp
@@ -12,9 +12,9 @@
 #include <string_view>
 #include <vector>
 
-#include "garnetbeam/call_control.hpp"
+#include "nettlestall/call_control.hpp"
 
-namespace garnetbeam::protocol {
+namespace nettlestall::protocol {
 
 enum class Type : std::uint8_t {
     set_up = 1,
@@ -115,4 +115,4 @@
 // A report such as `x0:12;x1:40`; names that are not known are passed over.
 LoadReport read_report(std::string_view text);
 
-}  // namespace garnetbeam::protocol
+}  // namespace nettlestall::protocol
--- a/src/protocol/feed.cpp
+++ b/src/protocol/feed.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cstring>
 
-namespace garnetbeam::protocol {
+namespace nettlestall::protocol {
 namespace {
 
 constexpr std::size_t kRead = 16 * 1024;
@@ -93,4 +93,4 @@
     return true;
 }
 
-}  // namespace garnetbeam::protocol
+}  // namespace nettlestall::protocol
--- a/src/protocol/feed.hpp
+++ b/src/protocol/feed.hpp
@@ -11,7 +11,7 @@
 #include "config/json.hpp"
 #include "protocol/signals.hpp"
 
-namespace garnetbeam::protocol {
+namespace nettlestall::protocol {
 
 // One numbered event, as on the feed and in the configuration. Throws json::BadInput.
 ListEvent read_list_event(const json::Value& event);
@@ -38,4 +38,4 @@
     std::size_t end_ = 0;
 };
 
-}  // namespace garnetbeam::protocol
+}  // namespace nettlestall::protocol
--- a/src/protocol/signals.hpp
+++ b/src/protocol/signals.hpp
@@ -7,9 +7,9 @@
 #include <string_view>
 #include <vector>
 
-#include "garnetbeam/call_control.hpp"
+#include "nettlestall/call_control.hpp"
 
-namespace garnetbeam {
+namespace nettlestall {
 
 using Description = std::shared_ptr<const std::string>;  // of the media; passed on unchanged
 
@@ -99,4 +99,4 @@
     std::vector<ListedExchange> entries;
 };
 
-}  // namespace garnetbeam
+}  // namespace nettlestall
--- a/src/protocol/switches.cpp
+++ b/src/protocol/switches.cpp
@@ -1,6 +1,6 @@
 #include "protocol/switches.hpp"
 
-namespace garnetbeam::protocol {
+namespace nettlestall::protocol {
 namespace {
 
 Outcome outcome_of(std::uint8_t cause) {
@@ -70,4 +70,4 @@
     return FrameBuilder(Type::release, call).cause(cause::kGivenUp).done();
 }
 
-}  // namespace garnetbeam::protocol
+}  // namespace nettlestall::protocol
--- a/src/protocol/switches.hpp
+++ b/src/protocol/switches.hpp
@@ -6,7 +6,7 @@
 #include "protocol/codec.hpp"
 #include "protocol/signals.hpp"
 
-namespace garnetbeam::protocol {
+namespace nettlestall::protocol {
 
 class SwitchSession {
    public:
@@ -29,4 +29,4 @@
     Inbox inbox_;
 };
 
-}  // namespace garnetbeam::protocol
+}  // namespace nettlestall::protocol
--- a/src/wire/host.cpp
+++ b/src/wire/host.cpp
@@ -8,7 +8,7 @@
 
 #include "config/settings.hpp"
 
-namespace garnetbeam::wire {
+namespace nettlestall::wire {
 namespace {
 
 using namespace json;
@@ -323,4 +323,4 @@
     return {text.GetString(), text.GetSize()};
 }
 
-}  // namespace garnetbeam::wire
+}  // namespace nettlestall::wire
--- a/src/wire/host.hpp
+++ b/src/wire/host.hpp
@@ -8,9 +8,9 @@
 #include <vector>
 
 #include "config/json.hpp"
-#include "garnetbeam/call_control.hpp"
+#include "nettlestall/call_control.hpp"
 
-namespace garnetbeam::wire {
+namespace nettlestall::wire {
 
 using json::BadInput;
 
@@ -25,4 +25,4 @@
     std::map<int, std::vector<ExchangeEntry>> lists_;  // census, by its number
 };
 
-}  // namespace garnetbeam::wire
+}  // namespace nettlestall::wire
--- a/src/wire/main.cpp
+++ b/src/wire/main.cpp
@@ -5,13 +5,13 @@
 
 int main() {
     std::ios::sync_with_stdio(false);
-    garnetbeam::wire::Host host;
+    nettlestall::wire::Host host;
     std::string line;
     for (long number = 1; std::getline(std::cin, line); ++number) {
         try {
             std::cout << host.reply(line) << '\n' << std::flush;
         } catch (const std::exception& problem) {
-            std::cerr << "garnetbeam_wirehost: line " << number << ": " << problem.what() << '\n';
+            std::cerr << "nettlestall_wirehost: line " << number << ": " << problem.what() << '\n';
             return 1;
         }
     }
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -3,7 +3,7 @@
 
 #include "desk.hpp"
 
-namespace garnetbeam::test {
+namespace nettlestall::test {
 namespace {
 
 // ---- Ordinary path --------------------------------------------------------------------------------
@@ -1009,4 +1009,4 @@
 }
 
 }  // namespace
-}  // namespace garnetbeam::test
+}  // namespace nettlestall::test
--- a/tests/desk.hpp
+++ b/tests/desk.hpp
@@ -11,9 +11,9 @@
 #include <utility>
 #include <vector>
 
-#include "garnetbeam/call_control.hpp"
+#include "nettlestall/call_control.hpp"
 
-namespace garnetbeam::test {
+namespace nettlestall::test {
 
 using namespace std::chrono_literals;
 
@@ -153,7 +153,7 @@
         seen = 0;
         std::size_t count = 0;
         for (const Action& action : done)
-            if (const auto* s = std::get_if<garnetbeam::SetUp>(&action)) {
+            if (const auto* s = std::get_if<nettlestall::SetUp>(&action)) {
                 const auto name = std::find(std::begin(kNames), std::end(kNames), s->exchange);
                 const int to = static_cast<int>(name - std::begin(kNames));
                 stands(s->call, to, lag).ended(s->call, to, Outcome::ended, Cause::none, true);
@@ -173,9 +173,9 @@
         const auto all = sent(id);
         return all.empty() ? "" : all.back();
     }
-    std::optional<garnetbeam::SetUp> set_up(const CallId& id) const {
+    std::optional<nettlestall::SetUp> set_up(const CallId& id) const {
         for (const Action& a : actions)
-            if (const auto* s = std::get_if<garnetbeam::SetUp>(&a); s && s->call == id) return *s;
+            if (const auto* s = std::get_if<nettlestall::SetUp>(&a); s && s->call == id) return *s;
         return {};
     }
     int sends() const {
@@ -209,4 +209,4 @@
     std::size_t seen = 0;
 };
 
-}  // namespace garnetbeam::test
+}  // namespace nettlestall::test
--- a/tests/property_test.cpp
+++ b/tests/property_test.cpp
@@ -5,7 +5,7 @@
 
 #include "desk.hpp"
 
-namespace garnetbeam::test {
+namespace nettlestall::test {
 namespace {
 
 // A small world of our own: it answers what the call control does with seeded chance, and checks the rules.
@@ -298,4 +298,4 @@
 INSTANTIATE_TEST_SUITE_P(Seeds, Rules, testing::Range(0, 24));
 
 }  // namespace
-}  // namespace garnetbeam::test
+}  // namespace nettlestall::test
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -4,7 +4,7 @@
 
 #include "host.hpp"
 
-namespace garnetbeam::wire {
+namespace nettlestall::wire {
 namespace {
 
 using nlohmann::json;
@@ -159,4 +159,4 @@
 }
 
 }  // namespace
-}  // namespace garnetbeam::wire
+}  // namespace nettlestall::wire
--- a/tests/wirehost_bad_input.sh
+++ b/tests/wirehost_bad_input.sh
@@ -5,4 +5,4 @@
 code=$?
 [ "$code" -eq 1 ] || { echo "exit $code"; exit 1; }
 [ "$(wc -l <"$out")" -eq 1 ] || { echo "standard output: $(cat "$out")"; exit 1; }
-[ "$(cat "$err")" = "garnetbeam_wirehost: line 2: not JSON" ] || { echo "standard error: $(cat "$err")"; exit 1; }
+[ "$(cat "$err")" = "nettlestall_wirehost: line 2: not JSON" ] || { echo "standard error: $(cat "$err")"; exit 1; }
