Test parsers, call table, configuration and the running program; bound what callers can hold

Seen on reading: a switch that accepts and closes at once was dialled again without a pause (servers.cpp, Peer::run); queues of 512 KiB on 928 connections and descriptions of 20,000 open calls could exceed the 192 MB; a standing call's release went to the newest connection of any caller, now of the same one first. The guards of the call table now also hold a call in transit to its destination.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -49,7 +49,8 @@
 
 Config read_config(const std::string& text) {
     rapidjson::Document document;
-    document.Parse<rapidjson::kParseFullPrecisionFlag>(text.data(), text.size());
+    document.Parse<rapidjson::kParseFullPrecisionFlag | rapidjson::kParseIterativeFlag>(text.data(),
+                                                                                        text.size());
     if (document.HasParseError()) bad("not JSON, at byte " + std::to_string(document.GetErrorOffset()));
     if (!document.IsObject()) bad("must be an object");
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -42,7 +42,8 @@
     Program(asio::io_context& io, const config::Config& config, const net::tcp::endpoint& listen)
         : servers_(io, config.net.connect_time_out, counters_),
           gatekeeper_(
-              config.settings, config.seed, [this] { return clock_.now(); }, servers_, counters_),
+              config.settings, config.seed, [this] { return clock_.now(); }, servers_, counters_,
+              most_held(config)),
           clients_(io, listen, most_clients(config), gatekeeper_, counters_),
           feed_(
               io, config.feed.empty() ? std::nullopt : net::to_endpoint(config.feed), config.known,
@@ -74,6 +75,11 @@
         return sockets - std::min(kSpareSockets, sockets / 2);
     }
 
+    // A sixth for descriptions of waiting calls; connections' queues and buffers may take half.
+    static std::size_t most_held(const config::Config& config) {
+        return static_cast<std::size_t>(config.memory_mb) * 1024 * 1024 / 6;
+    }
+
     // The call table first: it withdraws what is out to an exchange before its connection goes.
     void take(const ListEvent& event) {
         gatekeeper_.list(event);
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -61,7 +61,7 @@
 
 asio::awaitable<void> Clients::serve(std::shared_ptr<Connection> connection) {
     Writer writer(*connection);
-    protocol::CallerSession session(events_, writer, counters_);
+    protocol::CallerSession session(events_, writer, counters_, connection->origin());
     events_.caller_up(session);
     co_await connection->read_into(session);
     events_.caller_gone(session);
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -7,16 +7,21 @@
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <charconv>
+#include <utility>
+#include <variant>
 #include <vector>
 
 namespace nettlestall::net {
 namespace {
 
-constexpr std::size_t kMostQueued = 512 * 1024;  // bytes; a far end that reads so little is as good as gone
-constexpr std::size_t kGathered = 32;            // messages in one write
+// Bytes; a far end that reads so little is as good as gone. With the most connections that fit 1,024
+// descriptors this stays under 64 MB.
+constexpr std::size_t kMostQueued = 64 * 1024;
+constexpr std::size_t kGathered = 32;  // messages in one write
 
 template <int Level, int Name>
 using SocketNumber = asio::detail::socket_option::integer<Level, Name>;
@@ -48,6 +53,12 @@
     socket_.close(ignored);
 }
 
+std::string Connection::origin() const {
+    boost::system::error_code error;
+    const tcp::endpoint far = socket_.remote_endpoint(error);
+    return error ? std::string() : far.address().to_string();
+}
+
 asio::awaitable<void> Connection::write() {
     while (!queue_.empty() && socket_.is_open()) {
         std::vector<asio::const_buffer> buffers;
@@ -84,22 +95,14 @@
 
 asio::awaitable<boost::system::error_code> connect(tcp::socket& socket, tcp::endpoint to,
                                                    std::chrono::microseconds time_out) {
-    bool late = false;
+    using namespace asio::experimental::awaitable_operators;
     asio::steady_timer timer(socket.get_executor(), time_out);
-    timer.async_wait([&socket, &late](const boost::system::error_code& stopped) {
-        if (stopped) return;
-        late = true;
-        boost::system::error_code ignored;
-        socket.close(ignored);
-    });
-    const auto [error] = co_await socket.async_connect(to, asio::as_tuple(asio::use_awaitable));
-    // A timer that came due together with the connection still runs its handler, with both its references:
-    // let it run before they go.
-    if (timer.cancel() == 0 && !late) {
-        asio::steady_timer turn(socket.get_executor(), std::chrono::microseconds(1));
-        co_await turn.async_wait(asio::as_tuple(asio::use_awaitable));
-    }
-    co_return late ? boost::system::error_code(asio::error::timed_out) : error;
+    const auto first = co_await (socket.async_connect(to, asio::as_tuple(asio::use_awaitable)) ||
+                                 timer.async_wait(asio::as_tuple(asio::use_awaitable)));
+    if (first.index() == 0) co_return std::get<0>(std::get<0>(first));
+    boost::system::error_code ignored;
+    socket.close(ignored);
+    co_return asio::error::timed_out;
 }
 
 void set_up_socket(tcp::socket& socket) {
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -28,6 +28,7 @@
     void send(protocol::Frame frame);
     void close();  // at once; what is queued is dropped
     bool open() const { return socket_.is_open(); }
+    std::string origin() const;  // the far end, without its port
     bool idle() const { return queue_.empty(); }
 
     // Reads into `session` until the far end closes, breaks off or sends what is malformed.
--- a/src/net/gatekeeper.cpp
+++ b/src/net/gatekeeper.cpp
@@ -16,12 +16,13 @@
 }  // namespace
 
 Gatekeeper::Gatekeeper(const Settings& settings, std::uint64_t seed, Time time, Switches& switches,
-                       Counters& counters)
+                       Counters& counters, std::size_t most_held)
     : settings_(settings),
       control_(settings, seed),
       time_(std::move(time)),
       switches_(switches),
       counters_(counters),
+      most_held_(most_held),
       started_(time_()) {}
 
 // ---- The module ------------------------------------------------------------------------------------
@@ -85,7 +86,9 @@
     const auto exchange = exchanges_.find(at);
     return call.phase == Phase::waiting && call.attempts < settings_.max_attempts &&
            time_() >= call.not_before && exchange != exchanges_.end() &&
-           exchange->second.state == ExchangeState::ready;
+           exchange->second.state == ExchangeState::ready &&
+           exchange->second.number != settings_.own_exchange &&
+           (!call.transit || exchange->second.number == call.destination);
 }
 
 void Gatekeeper::act(const SetUp& action) {
@@ -93,7 +96,8 @@
     if (at == calls_.end()) return;
     Call& call = at->second;
     // Guards the rules whatever the module asks for: no second attempt beside one that is out, none before
-    // the release, none to an exchange that drains or has gone, none beyond the cap.
+    // the release, none to an exchange that drains or has gone, none beyond the cap, no call in transit to
+    // any but its destination.
     if (!may_set_up(call, action.exchange)) {
         ++counters_.held_back;
         if (call.phase != Phase::waiting) return;
@@ -147,11 +151,19 @@
     if (at == calls_.end() || at->second.phase == Phase::standing) return;
     if (at->second.phase == Phase::out) switches_.give_up(at->second.at, id);
     CallerLink* const link = at->second.link;
-    --unanswered_;
+    settle_answer(at->second);
     calls_.erase(at);
     if (link) link->release(id, ending);
 }
 
+// The call has its final answer, or is owed none.
+void Gatekeeper::settle_answer(Call& call) {
+    --unanswered_;
+    held_ -= call.description->size();
+    call.description = nullptr;
+    call.number.clear();
+}
+
 // ---- Callers ---------------------------------------------------------------------------------------
 
 void Gatekeeper::offered(CallerLink& link, const Offer& offer) {
@@ -165,7 +177,8 @@
     const auto named = std::find_if(settings_.classes.begin(), settings_.classes.end(),
                                     [&](const ClassSettings& c) { return c.name == offer.service_class; });
     const bool full =
-        settings_.max_open_calls > 0 && unanswered_ >= static_cast<std::size_t>(settings_.max_open_calls);
+        held_ + offer.description.size() > most_held_ ||
+        (settings_.max_open_calls > 0 && unanswered_ >= static_cast<std::size_t>(settings_.max_open_calls));
     if (named == settings_.classes.end() || offer.width < 1 || offer.destination < 0 || full) {
         ++(full ? counters_.refused : counters_.failed);
         return link.release(offer.call, full ? Ending::refused : Ending::failed);
@@ -173,10 +186,13 @@
     Call& call = calls_[offer.call];
     ++unanswered_;
     call.link = &link;
+    call.origin = link.origin();
+    call.destination = offer.destination;
     call.transit = offer.transit;
     call.service_class = offer.service_class;
     call.number = offer.number;
     call.description = std::make_shared<const std::string>(offer.description);
+    held_ += offer.description.size();
     call.answer_by = time_() + offer.patience;
     schedule(call.answer_by + kOverdueSlack, AnswerDue{offer.call});
 
@@ -209,9 +225,9 @@
 // The caller waits no longer: no answer is owed, and what is out is given up.
 void Gatekeeper::abandon(Calls::iterator at) {
     const CallId id = at->first;
-    const Call call = std::move(at->second);
-    --unanswered_;
+    Call call = std::move(at->second);
     calls_.erase(at);
+    settle_answer(call);
     if (call.phase == Phase::out) switches_.give_up(call.at, id);
     tell(CallAbandoned{id});
     if (call.phase == Phase::out)
@@ -235,7 +251,7 @@
 
 void Gatekeeper::caller_up(CallerLink& link) {
     links_.push_back(&link);
-    for (const auto& [call, ending] : std::exchange(owed_, {})) link.release(call, ending);
+    for (const Owed& owed : std::exchange(owed_, {})) link.release(owed.call, owed.ending);
 }
 
 void Gatekeeper::caller_gone(CallerLink& link) {
@@ -254,11 +270,18 @@
     }
 }
 
-// A standing call belongs to no connection: its release goes on its own one, on any other, or on the next.
-void Gatekeeper::release_caller(const CallId& call, CallerLink* link, Ending ending) {
-    if (!link && !links_.empty()) link = links_.back();
-    if (link) return link->release(call, ending);
-    if (owed_.size() < kReleasesOwed) owed_.emplace_back(call, ending);
+// A standing call belongs to no connection: its release goes on its own one, else on the newest of the same
+// caller, else on any, else on the next that is opened.
+void Gatekeeper::release_caller(const CallId& id, const Call& call, Ending ending) {
+    CallerLink* link = call.link;
+    if (!link && !links_.empty()) {
+        const auto same = std::find_if(links_.rbegin(), links_.rend(), [&call](const CallerLink* other) {
+            return other->origin() == call.origin;
+        });
+        link = same == links_.rend() ? links_.back() : *same;
+    }
+    if (link) return link->release(id, ending);
+    if (owed_.size() < kReleasesOwed) owed_.push_back({id, ending});
 }
 
 void Gatekeeper::refuse_all() {
@@ -283,11 +306,9 @@
     Call& call = at->second;
     if (call.phase == Phase::standing) return;  // told twice
     call.phase = Phase::standing;
-    --unanswered_;
+    settle_answer(call);
     ++counters_.stood;
     ++counters_.answered;
-    call.description = nullptr;
-    call.number.clear();
     if (call.link) call.link->answer(id, std::make_shared<const std::string>(description));
     tell(CallStands{id, call.attempts - 1, exchange, time_() - call.sent});
 }
@@ -329,7 +350,7 @@
     const Call call = std::move(at->second);
     calls_.erase(at);
     ++(outcome == Outcome::reset ? counters_.cut : counters_.ended);
-    if (tell_caller) release_caller(id, call.link, outcome == Outcome::reset ? Ending::cut : Ending::ended);
+    if (tell_caller) release_caller(id, call, outcome == Outcome::reset ? Ending::cut : Ending::ended);
     tell(AttemptEnded{.call = id,
                       .attempt = call.attempts - 1,
                       .exchange = call.at,
--- a/src/net/gatekeeper.hpp
+++ b/src/net/gatekeeper.hpp
@@ -20,8 +20,9 @@
    public:
     using Time = std::function<Instant()>;
 
+    // `most_held`: bytes of descriptions of calls without an answer; beyond it set-ups are refused.
     Gatekeeper(const Settings& settings, std::uint64_t seed, Time time, Switches& switches,
-               Counters& counters);
+               Counters& counters, std::size_t most_held = 32 * 1024 * 1024);
 
     // Whoever runs the timers hears of each earlier moment.
     void on_schedule(std::function<void(Instant)> earlier) { earlier_ = std::move(earlier); }
@@ -54,8 +55,10 @@
     enum class Phase { waiting, out, standing };
     struct Call {
         CallerLink* link = nullptr;  // the connection that it came on, while that is open
+        std::string origin;          // of that connection
         Phase phase = Phase::waiting;
         bool transit = false;
+        int destination = kNowhere;
         std::string service_class, number;
         Description description;
         int attempts = 0;
@@ -111,7 +114,8 @@
     void end_standing(Calls::iterator at, Outcome outcome, const LoadReport& load, bool tell_caller);
     void final_answer(const CallId& call, Ending ending);
     void abandon(Calls::iterator at);
-    void release_caller(const CallId& call, CallerLink* link, Ending ending);
+    void release_caller(const CallId& id, const Call& call, Ending ending);
+    void settle_answer(Call& call);
     void cut_standing(const ExchangeId& at);
 
     Settings settings_;
@@ -124,9 +128,14 @@
 
     Calls calls_;
     std::size_t unanswered_ = 0;
+    std::size_t held_ = 0, most_held_;
     std::map<ExchangeId, Exchange> exchanges_;
     std::vector<CallerLink*> links_;
-    std::vector<std::pair<CallId, Ending>> owed_;  // releases for which no caller's connection was open
+    struct Owed {
+        CallId call;
+        Ending ending;
+    };
+    std::vector<Owed> owed_;  // releases for which no caller's connection was open
     std::multimap<Instant, Due> due_;
     std::deque<Event> events_;
     std::vector<Action> actions_;
--- a/src/net/servers.cpp
+++ b/src/net/servers.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr Duration kFirstPause = std::chrono::milliseconds(50);  // until it is dialled again, doubling
+constexpr Duration kLeastPause = std::chrono::milliseconds(5);   // even where set-ups wait for it
 
 }  // namespace
 
@@ -79,15 +80,16 @@
                 pause = kFirstPause;
                 co_await converse(std::move(socket));
                 if (stopped_) co_return;
-                continue;
+            } else {
+                lose(Outcome::unreachable);
+                // Refused after it was there: no process listens, so the one that held the calls is gone.
+                if (error == asio::error::connection_refused && std::exchange(had, false))
+                    events_.process_dead(id_);
             }
-            lose(Outcome::unreachable);
-            // Refused after it was there: no process listens, so that the one that held the calls is gone.
-            if (error == asio::error::connection_refused && std::exchange(had, false))
-                events_.process_dead(id_);
-            pause_.expires_after(pause);
+            // Also after a connection that came up: guards against a far end that closes each at once.
+            pause_.expires_after(waiting_.empty() ? pause : kLeastPause);
             pause = std::min(2 * pause, time_out_);
-            if (waiting_.empty()) co_await pause_.async_wait(asio::as_tuple(asio::use_awaitable));
+            co_await pause_.async_wait(asio::as_tuple(asio::use_awaitable));
         }
     }
 
--- a/src/protocol/callers.hpp
+++ b/src/protocol/callers.hpp
@@ -19,8 +19,8 @@
         ~Out() = default;
     };
 
-    CallerSession(CallerEvents& events, Out& out, Counters& counters)
-        : events_(events), out_(out), counters_(counters) {}
+    CallerSession(CallerEvents& events, Out& out, Counters& counters, std::string origin = {})
+        : events_(events), out_(out), counters_(counters), origin_(std::move(origin)) {}
 
     std::span<char> space() { return inbox_.space(); }
     // Takes what was read into space(). False: malformed, the connection is to be closed.
@@ -28,6 +28,7 @@
 
     void answer(const CallId& call, Description description) override;
     void release(const CallId& call, Ending ending) override;
+    std::string_view origin() const override { return origin_; }
 
    private:
     void take(const Message& message);
@@ -36,6 +37,7 @@
     CallerEvents& events_;
     Out& out_;
     Counters& counters_;
+    std::string origin_;
     Inbox inbox_;
 };
 
--- a/src/protocol/feed.cpp
+++ b/src/protocol/feed.cpp
@@ -79,7 +79,7 @@
     if (!text.empty() && text.back() == '\r') text.remove_suffix(1);
     if (text.empty()) return true;
     rapidjson::Document document;
-    document.Parse(text.data(), text.size());
+    document.Parse<rapidjson::kParseIterativeFlag>(text.data(), text.size());
     if (document.HasParseError()) return false;
     try {
         const ListEvent event = read_list_event(document);
--- a/src/protocol/signals.hpp
+++ b/src/protocol/signals.hpp
@@ -34,6 +34,7 @@
    public:
     virtual void answer(const CallId& call, Description description) = 0;
     virtual void release(const CallId& call, Ending ending) = 0;
+    virtual std::string_view origin() const = 0;  // the same for all connections of one caller
 
    protected:
     ~CallerLink() = default;
--- a/src/wire/host.cpp
+++ b/src/wire/host.cpp
@@ -243,7 +243,8 @@
 
 std::string Host::reply(const std::string& line) {
     rapidjson::Document batch;
-    batch.Parse<rapidjson::kParseFullPrecisionFlag>(line.data(), line.size());
+    batch.Parse<rapidjson::kParseFullPrecisionFlag | rapidjson::kParseIterativeFlag>(line.data(),
+                                                                                     line.size());
     if (batch.HasParseError()) bad("not JSON");
     if (!batch.IsObject()) bad("a batch must be an object");
     const Instant now = need_time(batch, "ts_s");
--- /dev/null
+++ b/tests/net/calls_test.cpp
@@ -0,0 +1,315 @@
+// The call table with a clock, callers and carrier switches of the test's own.
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "check.hpp"
+#include "net/gatekeeper.hpp"
+
+using namespace nettlestall;
+using namespace std::chrono_literals;
+using test::Dice;
+
+namespace {
+
+struct Link final : CallerLink {
+    std::string from = "a";
+    std::map<CallId, std::vector<std::string>> heard;
+    void answer(const CallId& call, Description d) override { heard[call].push_back("answer " + *d); }
+    void release(const CallId& call, Ending ending) override {
+        const char* const names[] = {"refused", "failed", "ended", "cut"};
+        heard[call].push_back(names[static_cast<int>(ending)]);
+    }
+    std::string_view origin() const override { return from; }
+};
+
+struct World final : Switches {
+    struct Sent {
+        ExchangeId at;
+        CallId call;
+        Duration wait;
+        std::string description;
+    };
+    Instant now = 1'000'000s;
+    std::vector<Sent> sent;
+    std::vector<std::pair<ExchangeId, CallId>> given_up, released;
+    Counters counters;
+    net::Gatekeeper gatekeeper;
+    Link link;
+
+    static Settings settings() {
+        Settings s;
+        s.own_exchange = 0;
+        s.controls = 3;
+        s.max_attempts = 5;
+        s.release_wait = 300ms;
+        s.drain_grace = 500ms;
+        ClassSettings c;
+        c.name = "move";
+        c.aim = 2s;
+        c.deadline = 9s;
+        s.classes = {c};
+        return s;
+    }
+    static ListEvent all(std::initializer_list<std::pair<const char*, ExchangeState>> states,
+                         ListKind kind = ListKind::remembered) {
+        ListEvent event{.number = 1, .has_list = true, .kind = kind, .version = 1, .entries = {}};
+        for (const auto& [id, state] : states)
+            event.entries.push_back({{.exchange = id, .number = id[2] - '0', .state = state}, "127.0.0.1:1"});
+        return event;
+    }
+    explicit World(std::size_t most_held = 1'000'000)
+        : gatekeeper(
+              settings(), 5, [this] { return now; }, *this, counters, most_held) {
+        gatekeeper.list(all(
+            {{"s-0", ExchangeState::ready}, {"s-1", ExchangeState::ready}, {"s-2", ExchangeState::ready}}));
+        gatekeeper.caller_up(link);
+    }
+    void circuits(const ExchangeId& at, int free) {
+        LoadReport load;
+        load.free_circuits = free, load.group_size = 20;
+        gatekeeper.group_state(at, load);
+    }
+    void open() { circuits("s-1", 20), circuits("s-2", 20); }
+    void offer(const CallId& call, int to = 1, Duration patience = 3s, bool transit = false) {
+        Offer o;
+        o.call = call, o.service_class = "move", o.number = call, o.description = "offer";
+        o.patience = patience, o.destination = to, o.width = 1, o.transit = transit;
+        gatekeeper.offered(link, o);
+    }
+    void pass(Duration time) {
+        for (const Instant end = now + time; now < end;) now += 1ms, gatekeeper.run_due();
+    }
+    std::vector<std::string> heard(const CallId& call) { return link.heard[call]; }
+
+    void set_up(const ExchangeId& at, const Forward& f) override {
+        sent.push_back({at, f.call, f.wait, *f.description});
+    }
+    void give_up(const ExchangeId& at, const CallId& call) override { given_up.emplace_back(at, call); }
+    void release(const ExchangeId& at, const CallId& call) override { released.emplace_back(at, call); }
+};
+
+using Words = std::vector<std::string>;
+
+void a_call_stands_and_ends_once() {
+    World w;
+    CHECK(!w.gatekeeper.ready());
+    w.open();
+    CHECK(w.gatekeeper.ready());
+    w.offer("a");
+    CHECK(w.sent.size() == 1 && w.sent[0].at == "s-1" && w.sent[0].description == "offer");
+    CHECK(w.sent[0].wait > 2s && w.sent[0].wait <= 3s);
+    w.offer("a");  // repeated
+    w.gatekeeper.stands("s-1", "a", "answer");
+    w.gatekeeper.stands("s-1", "a", "answer");
+    CHECK(w.heard("a") == Words{"answer answer"});
+    w.gatekeeper.ended("s-1", "a", Outcome::ended, Cause::none, {});
+    w.gatekeeper.ended("s-1", "a", Outcome::ended, Cause::none, {});
+    w.pass(10s);
+    CHECK((w.heard("a") == Words{"answer answer", "ended"}));
+    CHECK(w.sent.size() == 1 && w.gatekeeper.calls() == 0 && w.released.empty());
+}
+
+void what_cannot_be_served_is_answered_at_once() {
+    World w;
+    w.open();
+    Offer o;
+    o.call = "x", o.service_class = "unheard of", o.destination = 1, o.width = 1, o.patience = 1s;
+    w.gatekeeper.offered(w.link, o);
+    CHECK(w.heard("x") == Words{"failed"});
+    w.offer("far", 9);
+    CHECK(w.heard("far") == Words{"refused"});
+    World small(3);
+    small.open();
+    small.offer("big");
+    CHECK(small.heard("big") == Words{"refused"});
+}
+
+void an_answer_that_crosses_a_give_up_is_released() {
+    World w;
+    w.open();
+    w.offer("a");
+    w.gatekeeper.released("a");
+    CHECK(w.given_up.size() == 1);
+    w.gatekeeper.stands("s-1", "a", "late");
+    CHECK(w.released.size() == 1 && w.heard("a").empty());
+
+    w.offer("b", 1, 1s);
+    w.pass(1500ms);  // times out
+    CHECK(w.given_up.size() == 2 && w.heard("b") == Words{"refused"});
+    w.gatekeeper.stands("s-1", "b", "late");
+    CHECK(w.released.size() == 2 && w.heard("b").size() == 1);
+    w.gatekeeper.ended("s-1", "b", Outcome::ended, Cause::none, {});
+    CHECK(w.heard("b").size() == 1);
+}
+
+void after_a_reset_the_release_is_awaited() {
+    World w;
+    w.open();
+    w.offer("a");
+    const Instant lost = w.now;
+    w.gatekeeper.connection_lost("s-1");
+    while (w.sent.size() < 2 && w.now < lost + 2s) w.pass(1ms);
+    CHECK(w.sent.size() == 2 && w.now >= lost + 300ms);
+}
+
+void nothing_new_goes_to_what_drains_or_has_gone() {
+    World w;
+    w.open();
+    w.offer("a");
+    w.gatekeeper.stands("s-1", "a", "d");
+    w.gatekeeper.list(World::all({{"s-1", ExchangeState::draining}}, ListKind::changes));
+    w.offer("b");
+    w.pass(4s);
+    CHECK(w.sent.size() == 1 && w.heard("b") == Words{"refused"});
+    CHECK(w.heard("a").size() == 1);  // stands while it drains
+    w.gatekeeper.list(World::all({{"s-1", ExchangeState::gone}}, ListKind::changes));
+    CHECK((w.heard("a") == Words{"answer d", "cut"}));
+}
+
+void a_fresh_start_or_a_dead_process_cuts_its_calls() {
+    World w;
+    w.open();
+    for (const char* id : {"a", "b"}) w.offer(id), w.gatekeeper.stands("s-1", id, "d");
+    w.offer("c", 2);
+    w.gatekeeper.stands("s-2", "c", "d");
+    w.gatekeeper.process_dead("s-1");
+    CHECK(w.heard("a").back() == "cut" && w.heard("b").back() == "cut");
+    ListEvent fresh = World::all({{"s-2", ExchangeState::ready}}, ListKind::changes);
+    fresh.entries[0].entry.started = w.now;
+    CHECK(w.heard("c").size() == 1);
+    w.gatekeeper.list(fresh);
+    CHECK(w.heard("c").back() == "cut");
+}
+
+void a_standing_call_outlives_its_connection() {
+    World w;
+    w.open();
+    Link other, stranger;
+    stranger.from = "b";
+    for (const char* id : {"a", "b", "c"}) w.offer(id), w.gatekeeper.stands("s-1", id, "d");
+    w.offer("open");
+    w.gatekeeper.caller_gone(w.link);
+    CHECK(w.given_up.size() == 1);  // the set-up that was open on it
+    w.gatekeeper.ended("s-1", "a", Outcome::ended, Cause::none, {});
+    w.gatekeeper.caller_up(other);
+    CHECK(other.heard["a"] == Words{"ended"});  // owed while no connection was open
+    w.gatekeeper.caller_up(stranger);
+    w.gatekeeper.ended("s-1", "b", Outcome::reset, Cause::none, {});
+    CHECK(other.heard["b"] == Words{"cut"} && stranger.heard.empty());
+    w.gatekeeper.released("c");
+    CHECK(w.released.size() == 1 && other.heard.count("c") == 0);
+}
+
+void a_call_in_transit_goes_to_its_destination_or_back() {
+    World w;
+    w.open();
+    w.circuits("s-1", 0);
+    w.offer("a", 1, 3s, true);
+    CHECK(w.sent.empty() && w.heard("a") == Words{"refused"});
+}
+
+void the_test_is_failed_while_leaving() {
+    World w;
+    w.pass(2s);
+    CHECK(w.gatekeeper.ready());  // a silent switch does not keep the front away for ever
+    w.gatekeeper.leave();
+    CHECK(!w.gatekeeper.ready());
+    w.open();
+    w.offer("a");
+    w.gatekeeper.refuse_all();
+    CHECK(w.heard("a") == Words{"refused"} && w.gatekeeper.unanswered() == 0);
+}
+
+// Whatever happens in whatever order: one final answer, one attempt out, no resend before the release.
+void the_rules_hold_in_any_order() {
+    for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+        Dice dice{seed * 104729};
+        World w;
+        w.open();
+        std::vector<CallId> ids;
+        std::map<CallId, ExchangeId> out;
+        std::map<CallId, Instant> not_before;
+        std::set<CallId> abandoned;
+        std::size_t sent = 0, gone = 0;
+        const auto follow = [&] {  // sends and give-ups, as the far ends see them
+            for (; gone < w.given_up.size(); ++gone)
+                if (out.erase(w.given_up[gone].second)) not_before[w.given_up[gone].second] = w.now + 300ms;
+            for (; sent < w.sent.size(); ++sent) {
+                const auto& s = w.sent[sent];
+                CHECK(!out.count(s.call) && s.at != "s-0" && w.now >= not_before[s.call]);
+                CHECK(s.wait > Duration::zero());
+                out[s.call] = s.at;
+            }
+        };
+        for (int step = 0; step < 600; ++step) {
+            const ExchangeId at = dice.below(2) ? "s-1" : "s-2";
+            const CallId any = ids.empty() ? "none" : ids[dice.below(ids.size())];
+            switch (dice.below(9)) {
+                case 0:
+                case 1:
+                case 2:
+                    ids.push_back("call" + std::to_string(ids.size()));
+                    w.offer(ids.back(), 1 + static_cast<int>(dice.below(2)),
+                            std::chrono::milliseconds(dice.below(3000)), dice.below(5) == 0);
+                    break;
+                case 3:
+                    if (const auto o = out.find(any); o != out.end() && o->second == at) out.erase(o);
+                    w.gatekeeper.stands(at, any, "d");
+                    break;
+                case 4: {
+                    const Outcome outcome = static_cast<Outcome>(dice.below(8));
+                    if (const auto o = out.find(any); o != out.end() && o->second == at) {
+                        out.erase(o);
+                        if (outcome == Outcome::reset) not_before[any] = w.now + 300ms;
+                    }
+                    w.gatekeeper.ended(at, any, outcome, static_cast<Cause>(dice.below(6)), {});
+                    break;
+                }
+                case 5:
+                    if (!w.link.heard.count(any)) abandoned.insert(any);
+                    w.gatekeeper.released(any);
+                    break;
+                case 6:
+                    for (auto o = out.begin(); o != out.end();)
+                        o = o->second == at ? (not_before[o->first] = w.now + 300ms, out.erase(o)) : next(o);
+                    w.gatekeeper.connection_lost(at);
+                    break;
+                case 7:
+                    w.circuits(at, static_cast<int>(dice.below(21)));
+                    break;
+                default:
+                    for (std::size_t ms = dice.below(200); ms > 0; --ms) w.pass(1ms), follow();
+            }
+            follow();
+        }
+        for (int ms = 0; ms < 4000; ++ms) w.pass(1ms), follow();
+        CHECK(w.gatekeeper.unanswered() == 0);
+        for (const CallId& id : ids) {
+            const Words words = w.heard(id);
+            if (abandoned.count(id)) {
+                CHECK(words.empty());
+                continue;
+            }
+            CHECK(!words.empty());
+            CHECK(words.size() == 1 || (words.size() == 2 && words[0] == "answer d" &&
+                                        (words[1] == "ended" || words[1] == "cut")));
+        }
+    }
+}
+
+}  // namespace
+
+int main() {
+    a_call_stands_and_ends_once();
+    what_cannot_be_served_is_answered_at_once();
+    an_answer_that_crosses_a_give_up_is_released();
+    after_a_reset_the_release_is_awaited();
+    nothing_new_goes_to_what_drains_or_has_gone();
+    a_fresh_start_or_a_dead_process_cuts_its_calls();
+    a_standing_call_outlives_its_connection();
+    a_call_in_transit_goes_to_its_destination_or_back();
+    the_test_is_failed_while_leaving();
+    the_rules_hold_in_any_order();
+}
--- /dev/null
+++ b/tests/net/codec_test.cpp
@@ -0,0 +1,227 @@
+// Parsers and sessions against random cuts of valid messages and against random garbage, from fixed seeds.
+#include <cstring>
+#include <string>
+#include <vector>
+
+#include "check.hpp"
+#include "protocol/callers.hpp"
+#include "protocol/feed.hpp"
+#include "protocol/switches.hpp"
+
+using namespace nettlestall;
+using namespace nettlestall::protocol;
+using test::Dice;
+
+namespace {
+
+const CallId kCall = "00ff10a0b1c2d3e4";
+
+std::string bytes(const Frame& frame) {
+    return frame.head + (frame.tail ? *frame.tail : "");
+}
+
+std::string set_up(const CallId& call, const std::string& description) {
+    return bytes(FrameBuilder(Type::set_up, call)
+                     .text(Code::service_class, "move")
+                     .text(Code::patience, "1500")
+                     .text(Code::redial, "1")
+                     .text(Code::number, "7f3a9c21e0b4d655")
+                     .text(Code::figures, "dest:2;width:3;via:-1;transit:1;new:7")
+                     .done(std::make_shared<const std::string>(description)));
+}
+
+// Writes down what a session tells the call table, and what it writes.
+struct Notes final : CallerEvents, SwitchEvents, CallerSession::Out {
+    std::vector<std::string> told;
+    std::string written;
+    bool in = true;
+
+    void offered(CallerLink&, const Offer& o) override {
+        told.push_back("offered " + o.call + ' ' + std::string(o.service_class) + ' ' +
+                       std::string(o.number) + ' ' + std::to_string(o.patience.count()) + ' ' +
+                       std::to_string(o.destination) + std::to_string(o.width) + std::to_string(o.via) +
+                       (o.transit ? "t" : "") + (o.again ? "a" : "") + (o.redial ? "r" : "") + ' ' +
+                       std::string(o.description));
+    }
+    void released(const CallId& call) override { told.push_back("released " + call); }
+    bool ready() const override { return in; }
+    void caller_up(CallerLink&) override {}
+    void caller_gone(CallerLink&) override {}
+    void stands(const ExchangeId& at, const CallId& call, std::string_view d) override {
+        told.push_back("stands " + at + ' ' + call + ' ' + std::string(d));
+    }
+    void ended(const ExchangeId&, const CallId& call, Outcome o, Cause c, const LoadReport& l) override {
+        told.push_back("ended " + call + ' ' + std::to_string(static_cast<int>(o)) + ' ' +
+                       std::to_string(static_cast<int>(c)) + ' ' + std::to_string(l.free_circuits));
+    }
+    void group_state(const ExchangeId&, const LoadReport& l) override {
+        told.push_back("group " + std::to_string(l.free_circuits) + '/' + std::to_string(l.group_size));
+    }
+    void connection_lost(const ExchangeId&) override {}
+    void process_dead(const ExchangeId&) override {}
+    void send(Frame frame) override { written += bytes(frame); }
+};
+
+template <class Session>
+bool feed(Session& session, std::string_view text, Dice* dice = nullptr) {
+    while (!text.empty()) {
+        const std::span<char> space = session.space();
+        CHECK(!space.empty());
+        std::size_t part = std::min(space.size(), text.size());
+        if (dice) part = 1 + dice->below(part);
+        std::memcpy(space.data(), text.data(), part);
+        if (!session.fed(part)) return false;
+        text.remove_prefix(part);
+    }
+    return true;
+}
+
+void callers_say_the_same_however_cut() {
+    const std::string all = set_up(kCall, "v=0 \xff\x00z") +
+                            bytes(FrameBuilder(Type::progress, kCall).done()) +
+                            bytes(FrameBuilder(Type::release, kCall).cause(16).done()) +
+                            set_up("0000000000000001", std::string(15'000, 'd')) +
+                            bytes(FrameBuilder(Type::test, kCall).cause(0).done());
+    Counters counters;
+    Notes whole;
+    CallerSession at_once(whole, whole, counters);
+    CHECK(feed(at_once, all));
+    CHECK(whole.told.size() == 3);
+    CHECK(whole.told[0] == "offered " + kCall + " move 7f3a9c21e0b4d655 1500000 23-1tr v=0 \xff");
+    CHECK(whole.told[1] == "released " + kCall);
+    CHECK(whole.told[2].size() > 15'000);
+    CHECK(whole.written == bytes(FrameBuilder(Type::release_heard, kCall).done()) +
+                               bytes(FrameBuilder(Type::test_result, kCall).cause(1).done()));
+    for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+        Dice dice{seed};
+        Notes cut;
+        CallerSession session(cut, cut, counters);
+        CHECK(feed(session, all, &dice));
+        CHECK(cut.told == whole.told && cut.written == whole.written);
+    }
+}
+
+void switches_say_what_the_protocol_means() {
+    Counters counters;
+    Notes notes;
+    SwitchSession session("s-1", notes, counters);
+    const auto release = [](std::uint8_t cause, const char* note) {
+        FrameBuilder frame(Type::release, kCall);
+        if (*note) frame.text(Code::note, note);
+        return bytes(frame.text(Code::report, "x0:3;x1:9;queue:2").cause(cause).done());
+    };
+    std::string all = bytes(FrameBuilder(Type::group_state, "").text(Code::report, "x0:12;x1:40").done());
+    all += bytes(FrameBuilder(Type::answer, kCall).done(std::make_shared<const std::string>("sdp")));
+    struct {
+        std::uint8_t cause;
+        const char* note;
+        Outcome outcome;
+        Cause why;
+    } const table[] = {{34, "no_circuit", Outcome::turned_back, Cause::no_circuit},
+                       {34, "turned_back", Outcome::turned_back, Cause::by_tandem},
+                       {34, "far_overload", Outcome::turned_back, Cause::by_tandem_far_processor},
+                       {34, "overload", Outcome::turned_back, Cause::processor_full},
+                       {17, "lines_busy", Outcome::failed, Cause::number_busy},
+                       {47, "", Outcome::failed, Cause::none},
+                       {102, "overload", Outcome::not_sent, Cause::processor_full},
+                       {41, "", Outcome::reset, Cause::none},
+                       {16, "", Outcome::ended, Cause::none},
+                       {99, "unheard_of", Outcome::failed, Cause::none}};
+    std::vector<std::string> expected{"group 12/40", "stands s-1 " + kCall + " sdp"};
+    for (const auto& row : table) {
+        all += release(row.cause, row.note);
+        expected.push_back("ended " + kCall + ' ' + std::to_string(static_cast<int>(row.outcome)) + ' ' +
+                           std::to_string(static_cast<int>(row.why)) + " 3");
+    }
+    Dice dice{77};
+    CHECK(feed(session, all, &dice));
+    CHECK(notes.told == expected);
+}
+
+void messages_are_written_as_the_protocol_says() {
+    const Forward forward{"0123456789abcdef", "move", "77", std::make_shared<const std::string>("d\n"),
+                          std::chrono::microseconds(1'200'001)};
+    CHECK(bytes(SwitchSession::set_up(forward)) == std::string("\x00\x21\x01\x01\x23\x45\x67\x89\xab\xcd\xef"
+                                                               "\x10\x00\x04move\x12\x00\x04"
+                                                               "1201\x18\x00\x02"
+                                                               "77\x2e\x00\x02"
+                                                               "d\n",
+                                                               35));
+    CHECK(bytes(SwitchSession::release("0123456789abcdef")) ==
+          std::string("\x00\x0d\x0c\x01\x23\x45\x67\x89\xab\xcd\xef\x2c\x00\x01\x10", 15));
+}
+
+void malformed_bytes_are_told() {
+    const std::string bad[] = {
+        std::string("\x00\x08\x01", 3),                                        // shorter than a head
+        std::string("\x3f\xff", 2),                                            // longer than any message
+        std::string("\x00\x0b\x01", 3) + std::string("12345678\x10\x00", 10),  // half a parameter's head
+        std::string("\x00\x0d\x01", 3) + "12345678" + std::string("\x10\x00\x05x", 4)};  // past the message
+    for (const std::string& text : bad) {
+        Counters counters;
+        Notes notes;
+        CallerSession session(notes, notes, counters);
+        CHECK(!feed(session, text));
+        CHECK(counters.malformed == 1 && notes.told.empty());
+    }
+}
+
+void garbage_harms_nothing() {
+    for (std::uint64_t seed = 1; seed <= 2000; ++seed) {
+        Dice dice{seed * 7919};
+        std::string text = set_up(kCall, "some description") + bytes(SwitchSession::release(kCall));
+        // Half of it is damaged messages, which get further than noise.
+        if (seed % 2) {
+            for (std::size_t n = 1 + dice.below(8); n > 0; --n)
+                text[dice.below(text.size())] = static_cast<char>(dice.below(256));
+        } else {
+            text.resize(dice.below(400));
+            for (char& c : text) c = static_cast<char>(dice.below(256));
+        }
+        Counters counters;
+        Notes notes;
+        CallerSession caller(notes, notes, counters);
+        feed(caller, text, &dice);
+        SwitchSession at_switch("s", notes, counters);
+        feed(at_switch, text, &dice);
+        FeedSession list(0, [](const ListEvent&) {});
+        feed(list, text + "\n", &dice);
+        read_report(text);
+    }
+}
+
+void the_feed_is_followed_and_resumed() {
+    const std::string first =
+        R"({"n":3,"members":{"version":7,"full":false,"servers":[{"id":"s-1","addr":"10.1.0.9:3868",)"
+        R"("zone":"east","kind":"std","cell":2,"state":"leaving","weight":4,"started_ms":12}]}})";
+    std::vector<ListEvent> events;
+    FeedSession session(2, [&](const ListEvent& event) { events.push_back(event); });
+    CHECK(session.subscribe() == "SUB 2\n");
+    Dice dice{5};
+    CHECK(feed(session, first + "\n{\"n\":3}\n3\r\n" + first.substr(0, 40), &dice));
+    CHECK(events.size() == 1 && session.last() == 3);
+    const ListedExchange& x = events[0].entries.at(0);
+    CHECK(x.entry.exchange == "s-1" && x.entry.state == ExchangeState::draining && x.entry.number == 2);
+    CHECK(x.address == "10.1.0.9:3868" && x.entry.started == std::chrono::milliseconds(12));
+    CHECK(events[0].kind == ListKind::changes);
+    // The half line of the broken connection is gone; an event told twice is taken once.
+    CHECK(session.subscribe() == "SUB 3\n");
+    CHECK(feed(session, first + "\n", &dice) && events.size() == 1);
+    for (const char* bad : {"{\"n\":4,\"members\":{}}\n", "nonsense\n", "[]\n",
+                            "{\"n\":4,\"members\":{\"servers\":[{\"id\":\"s\",\"state\":\"lost\"}]}}\n"}) {
+        session.subscribe();
+        CHECK(!feed(session, bad));
+    }
+    CHECK(events.size() == 1);
+}
+
+}  // namespace
+
+int main() {
+    callers_say_the_same_however_cut();
+    switches_say_what_the_protocol_means();
+    messages_are_written_as_the_protocol_says();
+    malformed_bytes_are_told();
+    garbage_harms_nothing();
+    the_feed_is_followed_and_resumed();
+}
--- /dev/null
+++ b/tests/net/program_test.cpp
@@ -0,0 +1,308 @@
+// Starts the program and speaks to it over loopback sockets, as callers, a carrier switch and the feed do.
+// Waits for what must come and never for a span of time, so that a busy machine only makes it slower.
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <cstring>
+#include <fstream>
+#include <sstream>
+#include <utility>
+
+#include "check.hpp"
+#include "protocol/codec.hpp"
+
+using namespace nettlestall::protocol;
+using nettlestall::CallId;
+
+namespace {
+
+constexpr int kPatienceSeconds = 30;  // for anything that must come
+
+// An address of this process's own, so that tests side by side do not meet.
+std::string own_address() {
+    const int pid = getpid();
+    return "127." + std::to_string(64 + (pid >> 16 & 63)) + '.' + std::to_string(pid >> 8 & 255) + '.' +
+           std::to_string(1 + (pid & 255) % 254);
+}
+
+sockaddr_in to_sockaddr(int port) {
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_port = htons(static_cast<std::uint16_t>(port));
+    inet_pton(AF_INET, own_address().c_str(), &to.sin_addr);
+    return to;
+}
+
+class Fd {
+   public:
+    explicit Fd(int fd) : fd_(fd) {
+        CHECK(fd >= 0);
+        const timeval patience{kPatienceSeconds, 0};
+        setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
+    }
+    Fd(Fd&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
+    Fd& operator=(Fd&& other) noexcept {
+        std::swap(fd_, other.fd_);
+        return *this;
+    }
+    ~Fd() { close(); }
+    void close() {
+        if (fd_ >= 0) ::close(std::exchange(fd_, -1));
+    }
+    int get() const { return fd_; }
+
+   private:
+    int fd_;
+};
+
+struct Heard {
+    Type type;
+    CallId call;
+    int cause;
+    std::string description, number, service_class;
+};
+
+class Peer {
+   public:
+    explicit Peer(int fd) : fd_(fd) {}
+
+    static Peer connect(int port) {
+        for (;;) {  // until the program listens
+            const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+            const sockaddr_in to = to_sockaddr(port);
+            if (::connect(fd, reinterpret_cast<const sockaddr*>(&to), sizeof to) == 0) return Peer(fd);
+            ::close(fd);
+            usleep(5000);
+        }
+    }
+    void say(const std::string& bytes) {
+        CHECK(::send(fd_.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
+              static_cast<ssize_t>(bytes.size()));
+    }
+    void say(const Frame& frame) { say(frame.head + (frame.tail ? *frame.tail : "")); }
+    // The next message that is not merely polite.
+    Heard hear() {
+        for (Message message;;) {
+            const Inbox::Next next = inbox_.next(message);
+            CHECK(next != Inbox::Next::malformed);
+            if (next == Inbox::Next::message) {
+                if (message.type == Type::release_heard) continue;
+                return {message.type,
+                        message.call(),
+                        message.cause(),
+                        std::string(message.text(Code::description)),
+                        std::string(message.text(Code::number)),
+                        std::string(message.text(Code::service_class))};
+            }
+            const auto space = inbox_.space();
+            const ssize_t bytes = ::recv(fd_.get(), space.data(), space.size(), 0);
+            CHECK(bytes > 0);
+            inbox_.filled(static_cast<std::size_t>(bytes));
+        }
+    }
+    bool closed_by_far_end() {
+        char byte = 0;
+        const ssize_t bytes = ::recv(fd_.get(), &byte, 1, 0);
+        return bytes == 0 || (bytes < 0 && errno == ECONNRESET);
+    }
+    std::string line() {
+        std::string text;
+        for (char c = 0; c != '\n'; text += c) CHECK(::recv(fd_.get(), &c, 1, 0) == 1);
+        return text;
+    }
+    void hang_up() { fd_.close(); }
+
+   private:
+    Fd fd_;
+    Inbox inbox_;
+};
+
+class Listener {
+   public:
+    Listener() : fd_(::socket(AF_INET, SOCK_STREAM, 0)) {
+        sockaddr_in at = to_sockaddr(0);
+        CHECK(::bind(fd_.get(), reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0);
+        CHECK(::listen(fd_.get(), 16) == 0);
+        socklen_t size = sizeof at;
+        CHECK(getsockname(fd_.get(), reinterpret_cast<sockaddr*>(&at), &size) == 0);
+        port_ = ntohs(at.sin_port);
+    }
+    Peer accept() { return Peer(::accept(fd_.get(), nullptr, nullptr)); }
+    int port() const { return port_; }
+    std::string address() const { return own_address() + ':' + std::to_string(port_); }
+
+   private:
+    Fd fd_;
+    int port_ = 0;
+};
+
+class Program {
+   public:
+    Program(const char* path, const std::string& config)
+        : stem_("/tmp/program_test." + std::to_string(getpid())) {
+        std::ofstream(stem_ + ".json") << config;
+        pid_ = fork();
+        CHECK(pid_ >= 0);
+        if (pid_ == 0) {
+            setenv("BALANCER_CONFIG", (stem_ + ".json").c_str(), 1);
+            unsetenv("BALANCER_LISTEN");
+            dup2(open((stem_ + ".log").c_str(), O_CREAT | O_TRUNC | O_WRONLY, 0600), 2);
+            execl(path, path, nullptr);
+            _exit(127);
+        }
+    }
+    ~Program() {
+        if (pid_ > 0) ::kill(pid_, SIGKILL), waitpid(pid_, nullptr, 0);
+        for (const char* end : {".json", ".log"}) unlink((stem_ + end).c_str());
+    }
+    void signal(int number) { CHECK(::kill(pid_, number) == 0); }
+    int exit_code() {
+        int status = 0;
+        CHECK(waitpid(std::exchange(pid_, -1), &status, 0) > 0);
+        return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+    }
+    std::string log() const {
+        std::stringstream text;
+        text << std::ifstream(stem_ + ".log").rdbuf();
+        return text.str();
+    }
+    void await_log(const std::string& text) const {
+        while (log().find(text) == std::string::npos) usleep(5000);
+    }
+
+   private:
+    std::string stem_;
+    pid_t pid_ = -1;
+};
+
+std::string server(int cell, const std::string& address, const char* state = "active") {
+    return R"({"id":"s-)" + std::to_string(cell) + R"(","addr":")" + address + R"(","cell":)" +
+           std::to_string(cell) + R"(,"state":")" + state + R"(","started_ms":0})";
+}
+
+std::string event(int number, bool full, const std::string& servers) {
+    return R"({"n":)" + std::to_string(number) + R"(,"members":{"version":1,"full":)" +
+           (full ? "true" : "false") + R"(,"servers":[)" + servers + "]}}";
+}
+
+std::string set_up(const CallId& call, int to, int patience_ms, const char* service_class = "move") {
+    const Frame frame = FrameBuilder(Type::set_up, call)
+                            .text(Code::service_class, service_class)
+                            .text(Code::patience, std::to_string(patience_ms))
+                            .text(Code::number, "7f3a")
+                            .text(Code::figures, "dest:" + std::to_string(to) + ";width:1;via:-1")
+                            .done(std::make_shared<const std::string>("offer of " + call));
+    return frame.head + *frame.tail;
+}
+
+Frame answer(const CallId& call) {
+    return FrameBuilder(Type::answer, call).done(std::make_shared<const std::string>("media\r\n of " + call));
+}
+
+Frame group(const char* state) {
+    return FrameBuilder(Type::group_state, "").text(Code::report, state).done();
+}
+
+Frame release(const CallId& call, std::uint8_t cause) {
+    return FrameBuilder(Type::release, call).cause(cause).done();
+}
+
+Heard test(Peer& caller) {
+    caller.say(FrameBuilder(Type::test, "00000000000000aa").cause(0).done());
+    const Heard heard = caller.hear();
+    CHECK(heard.type == Type::test_result && heard.call == "00000000000000aa");
+    return heard;
+}
+
+void bad_config_is_told_and_ends_it(const char* path) {
+    Program program(path, R"({"listen":"127.0.0.1:0","settings":{"limits":7}})");
+    CHECK(program.exit_code() == 1);
+    CHECK(program.log().find("'limits' must be an object") != std::string::npos);
+}
+
+void it_serves(const char* path) {
+    Listener first, second, feed_at;
+    const int port = Listener().port();  // free again, at an address that nobody else uses
+    Program program(
+        path,
+        R"({"name":"n","listen":")" + own_address() + ':' + std::to_string(port) + R"(","feed":")" +
+            feed_at.address() + R"(","seed":"5","known":{"n":1,"events":[)" +
+            event(1, true, server(1, first.address())) +
+            R"(]},"settings":{"self_index":0,"fleet_size":3,"family_info":{"this_node":0,"release_s":0.3},)"
+            R"("grades":[{"name":"move","aim_s":20,"deadline_s":90}],"limits":{"send_cap":5,"open_cap":100},)"
+            R"("obligations":{"drain_grace_s":0.5,"grace_to_answer_s":0.02}}})");
+    Peer feed = feed_at.accept();
+    CHECK(feed.line() == "SUB 1\n");
+    Peer at_switch = first.accept();
+    at_switch.say(group("x0:9;x1:9"));
+    Peer caller = Peer::connect(port);
+    while (test(caller).cause != 1) usleep(5000);
+
+    // One call to its end.
+    const CallId one = "0000000000000001", two = "0000000000000002", three = "0000000000000003";
+    caller.say(set_up(one, 1, 20'000));
+    const Heard sent = at_switch.hear();
+    CHECK(sent.type == Type::set_up && sent.call == one && sent.description == "offer of " + one);
+    CHECK(sent.number == "7f3a" && sent.service_class == "move");
+    at_switch.say(answer(one));
+    Heard heard = caller.hear();
+    CHECK(heard.type == Type::answer && heard.call == one && heard.description == "media\r\n of " + one);
+    // The group's state goes before the release, so that whoever hears of the release knows it was read.
+    at_switch.say(group("x0:0;x1:9"));
+    at_switch.say(release(one, 16));
+    heard = caller.hear();
+    CHECK(heard.type == Type::release && heard.call == one && heard.cause == 16);
+
+    // Refused: no circuit is free. Failed: nobody knows its class.
+    caller.say(set_up(two, 1, 200));
+    heard = caller.hear();
+    CHECK(heard.type == Type::release && heard.call == two && heard.cause == 34);
+    caller.say(set_up(three, 1, 200, "nonsense"));
+    heard = caller.hear();
+    CHECK(heard.type == Type::release && heard.call == three && heard.cause == 47);
+
+    // What is malformed closes its own connection and harms nobody else.
+    Peer noise = Peer::connect(port);
+    noise.say(std::string("GET / HTTP/1.1\r\n\r\n"));
+    CHECK(noise.closed_by_far_end());
+    CHECK(test(caller).cause == 1);
+
+    // The feed breaks off after an event, in the middle of the next: it is resumed behind the former.
+    feed.say(event(2, false, server(2, second.address())) + "\n{\"n\":3,\"mem");
+    Peer at_second = second.accept();
+    feed.hang_up();
+    feed = feed_at.accept();
+    CHECK(feed.line() == "SUB 2\n");
+    feed.say(std::string("{\"n\":2}\n"));
+
+    // SIGTERM: an open set-up is served to its answer, a new connection too, and then it ends.
+    at_second.say(group("x0:9;x1:9"));
+    const CallId four = "0000000000000004", five = "0000000000000005";
+    caller.say(set_up(four, 2, 20'000));
+    CHECK(at_second.hear().call == four);
+    program.signal(SIGUSR1);
+    program.await_log(" set_ups=4 ");
+    program.signal(SIGTERM);
+    while (test(caller).cause != 0) usleep(5000);
+    Peer late = Peer::connect(port);
+    late.say(set_up(five, 2, 20'000));
+    CHECK(at_second.hear().call == five);
+    at_second.say(answer(five));
+    CHECK(late.hear().type == Type::answer);
+    at_second.say(answer(four));
+    CHECK(caller.hear().description == "media\r\n of " + four);
+    CHECK(program.exit_code() == 0);
+    CHECK(program.log().find(" answered=3 refused=1 failed=1 ") != std::string::npos);
+}
+
+}  // namespace
+
+int main(int count, char** arguments) {
+    CHECK(count == 2);
+    bad_config_is_told_and_ends_it(arguments[1]);
+    it_serves(arguments[1]);
+}
