Cut the calls of a switch that can't be reached for long, and dial anew when one is silent

At fault: Peer in src/net/servers.cpp cut calls only where a port refused; a cut link refuses nothing. Now a switch that was silent for 2 s is dialled again beside the old connection, which is read on; once dials have timed out for 4.5 s its standing calls are cut, as the protocol asks within 8 s of their end.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,6 +1,4 @@
 // One gatekeeper: wiring, signals, counters.
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
@@ -62,7 +60,7 @@
             if (std::exchange(first, false)) event.kind = ListKind::remembered;
             take(event);
         }
-        asio::co_spawn(io, watch_signals(), asio::detached);
+        net::spawn(io, watch_signals());
         feed_.start();
         clients_.start();
     }
@@ -99,7 +97,7 @@
             if (signal == SIGUSR1) {
                 std::cerr << counters_ << std::endl;
             } else if (!std::exchange(stopping_, true)) {
-                asio::co_spawn(alarm_.get_executor(), stop(), asio::detached);
+                net::spawn(alarm_.get_executor(), stop());
             }
         }
     }
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -1,8 +1,6 @@
 #include "net/clients.hpp"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 namespace nettlestall::net {
@@ -28,7 +26,7 @@
 }
 
 void Clients::start() {
-    asio::co_spawn(acceptor_.get_executor(), accept(), asio::detached);
+    spawn(acceptor_.get_executor(), accept());
 }
 
 void Clients::stop() {
@@ -55,7 +53,7 @@
         }
         ++counters_.client_connections;
         open_.push_back(std::make_shared<Connection>(std::move(socket), counters_));
-        asio::co_spawn(acceptor_.get_executor(), serve(open_.back()), asio::detached);
+        spawn(acceptor_.get_executor(), serve(open_.back()));
     }
 }
 
@@ -63,7 +61,7 @@
     Writer writer(*connection);
     protocol::CallerSession session(events_, writer, counters_, connection->origin());
     events_.caller_up(session);
-    co_await connection->read_into(session);
+    co_await connection->read_into(session, [] {});
     events_.caller_gone(session);
     connection->close();
     std::erase(open_, connection);
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -5,8 +5,6 @@
 
 #include <algorithm>
 #include <array>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
@@ -43,8 +41,7 @@
     }
     queue_.push_back(std::move(frame));
     if (std::exchange(writing_, true)) return;
-    asio::co_spawn(
-        socket_.get_executor(), [self = shared_from_this()] { return self->write(); }, asio::detached);
+    spawn(socket_.get_executor(), write(shared_from_this()));
 }
 
 void Connection::close() {
@@ -59,24 +56,26 @@
     return error ? std::string() : far.address().to_string();
 }
 
-asio::awaitable<void> Connection::write() {
-    while (!queue_.empty() && socket_.is_open()) {
+// Holds the connection itself: nothing else may by the time that it starts.
+asio::awaitable<void> Connection::write(std::shared_ptr<Connection> self) {
+    std::deque<protocol::Frame>& queue = self->queue_;
+    while (!queue.empty() && self->open()) {
         std::vector<asio::const_buffer> buffers;
-        const std::size_t frames = std::min(queue_.size(), kGathered);
+        const std::size_t frames = std::min(queue.size(), kGathered);
         for (std::size_t i = 0; i < frames; ++i) {
-            buffers.push_back(asio::buffer(queue_[i].head));
-            if (queue_[i].tail) buffers.push_back(asio::buffer(*queue_[i].tail));
+            buffers.push_back(asio::buffer(queue[i].head));
+            if (queue[i].tail) buffers.push_back(asio::buffer(*queue[i].tail));
         }
         const auto [error, bytes] =
-            co_await asio::async_write(socket_, buffers, asio::as_tuple(asio::use_awaitable));
+            co_await asio::async_write(self->socket_, buffers, asio::as_tuple(asio::use_awaitable));
         if (error) {
-            close();
+            self->close();
             break;
         }
-        queued_ -= bytes;
-        queue_.erase(queue_.begin(), queue_.begin() + static_cast<std::ptrdiff_t>(frames));
+        self->queued_ -= bytes;
+        queue.erase(queue.begin(), queue.begin() + static_cast<std::ptrdiff_t>(frames));
     }
-    writing_ = false;
+    self->writing_ = false;
 }
 
 std::optional<tcp::endpoint> to_endpoint(const std::string& address) {
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -5,10 +5,12 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <chrono>
 #include <deque>
+#include <exception>
 #include <memory>
 #include <optional>
 #include <string>
@@ -32,18 +34,21 @@
     bool idle() const { return queue_.empty(); }
 
     // Reads into `session` until the far end closes, breaks off or sends what is malformed.
-    template <class Session>
-    asio::awaitable<void> read_into(Session& session) {
+    // Each read is told to `heard`.
+    template <class Session, class F>
+    asio::awaitable<void> read_into(Session& session, F heard) {
         for (;;) {
             const std::span<char> space = session.space();
             const auto [error, bytes] = co_await socket_.async_read_some(
                 asio::buffer(space.data(), space.size()), asio::as_tuple(asio::use_awaitable));
-            if (error || !session.fed(bytes)) co_return;
+            if (error) co_return;
+            heard();
+            if (!session.fed(bytes)) co_return;
         }
     }
 
    private:
-    asio::awaitable<void> write();
+    static asio::awaitable<void> write(std::shared_ptr<Connection> self);
 
     tcp::socket socket_;
     Counters& counters_;
@@ -52,6 +57,15 @@
     bool writing_ = false;
 };
 
+// Starts a coroutine. What it throws ends the program with a message: a driver that stopped unnoticed would
+// leave its peer without answers.
+template <class Executor>
+void spawn(Executor&& on, asio::awaitable<void> coroutine) {
+    asio::co_spawn(on, std::move(coroutine), [](const std::exception_ptr& problem) {
+        if (problem) std::rethrow_exception(problem);
+    });
+}
+
 // Nothing if `address` is not of the form address:port with a numeric address.
 std::optional<tcp::endpoint> to_endpoint(const std::string& address);
 
--- a/src/net/feed.cpp
+++ b/src/net/feed.cpp
@@ -1,7 +1,5 @@
 #include "net/feed.hpp"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
 
 namespace nettlestall::net {
@@ -26,8 +24,8 @@
 
 void Feed::start() {
     if (!at_) return;
-    asio::co_spawn(socket_.get_executor(), follow(), asio::detached);
-    asio::co_spawn(socket_.get_executor(), watch(), asio::detached);
+    spawn(socket_.get_executor(), follow());
+    spawn(socket_.get_executor(), watch());
 }
 
 void Feed::stop() {
--- a/src/net/gatekeeper.hpp
+++ b/src/net/gatekeeper.hpp
@@ -102,7 +102,8 @@
     void act(const Cancel& action);
     void act(const SetTimer& action);
     void act(const Note& action);
-    // Settings of this protocol never allow these, or the feed does it unasked.
+    // Nothing is to be done for these: probes and messages between gatekeepers have no message here, the feed
+    // tells the list unasked, and the one connection to each carrier switch is kept.
     void act(const Probe&) {}
     void act(const TellPeers&) {}
     void act(const FollowList&) {}
--- a/src/net/servers.cpp
+++ b/src/net/servers.cpp
@@ -1,8 +1,6 @@
 #include "net/servers.hpp"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <set>
 #include <utility>
@@ -10,8 +8,13 @@
 namespace nettlestall::net {
 namespace {
 
+using Clock = std::chrono::steady_clock;
+
 constexpr Duration kFirstPause = std::chrono::milliseconds(50);  // until it is dialled again, doubling
-constexpr Duration kLeastPause = std::chrono::milliseconds(5);   // even where set-ups wait for it
+constexpr Duration kWatch = std::chrono::milliseconds(250);
+constexpr Duration kSilence = std::chrono::seconds(2);          // until a further connection is tried
+constexpr Duration kCutOff = std::chrono::milliseconds(4500);   // of dials that time out, until calls are cut
+constexpr Duration kLeastPause = std::chrono::milliseconds(5);  // even where set-ups wait for it
 
 }  // namespace
 
@@ -31,19 +34,18 @@
     const std::string& address() const { return address_; }
     bool idle() const { return !connection_ || connection_->idle(); }
 
-    void start() {
-        asio::co_spawn(
-            io_, [self = shared_from_this()] { return self->run(); }, asio::detached);
-    }
+    void start() { spawn(io_, run(shared_from_this())); }
 
     void stop() {
         stopped_ = true;
         pause_.cancel();
         if (connection_) connection_->close();
+        if (previous_) previous_->close();
         lose(Outcome::unreachable);
     }
 
     void set_up(const Forward& forward) {
+        used_ = true;
         if (connection_ && connection_->open())
             return connection_->send(protocol::SwitchSession::set_up(forward));
         waiting_.emplace_back(forward.call, protocol::SwitchSession::set_up(forward));
@@ -62,29 +64,49 @@
         if (releases_.size() < kMostReleases) releases_.push_back(call);
     }
 
+    // Set-ups that no connection came up for: they never ran.
+    void lose(Outcome outcome) {
+        for (const auto& [call, frame] : std::exchange(waiting_, {}))
+            events_.ended(id_, call, outcome, Cause::none, {});
+    }
+
    private:
     static constexpr std::size_t kMostReleases = 4096;
 
-    asio::awaitable<void> run() {
-        const auto self = shared_from_this();
+    // Holds the peer: the list may have dropped it by the time that this starts.
+    static asio::awaitable<void> run(std::shared_ptr<Peer> self) { co_await self->keep_up(); }
+
+    asio::awaitable<void> keep_up() {
         const auto to = to_endpoint(address_);
         Duration pause = kFirstPause;
         bool had = false;  // a connection, since the process was last known to live
+        std::optional<Clock::time_point> unreachable;
         while (!stopped_) {
+            if (connection_ && (!used_ || Clock::now() - heard_ < kSilence)) {
+                pause_.expires_after(kWatch);
+                co_await pause_.async_wait(asio::as_tuple(asio::use_awaitable));
+                continue;
+            }
             tcp::socket socket(io_);
             boost::system::error_code error = asio::error::invalid_argument;
             if (to) error = co_await connect(socket, *to, time_out_);
             if (stopped_) co_return;
             if (!error) {
                 had = true;
+                unreachable.reset();
                 pause = kFirstPause;
-                co_await converse(std::move(socket));
-                if (stopped_) co_return;
+                adopt(std::move(socket));
             } else {
                 lose(Outcome::unreachable);
                 // Refused after it was there: no process listens, so the one that held the calls is gone.
-                if (error == asio::error::connection_refused && std::exchange(had, false))
-                    events_.process_dead(id_);
+                bool dead = error == asio::error::connection_refused;
+                // Guards against calls that stand for ever over a cut link: nothing can tell that they were
+                // dropped. Neither an old connection nor a new one speaks for so long that they must be.
+                if (error == asio::error::timed_out) {
+                    if (!unreachable) unreachable = Clock::now();
+                    dead = Clock::now() - *unreachable >= kCutOff;
+                }
+                if (dead && std::exchange(had, false)) events_.process_dead(id_);
             }
             // Also after a connection that came up: guards against a far end that closes each at once.
             pause_.expires_after(waiting_.empty() ? pause : kLeastPause);
@@ -93,26 +115,31 @@
         }
     }
 
-    asio::awaitable<void> converse(tcp::socket socket) {
+    // The new connection serves from now on. One that fell silent is read on until the next takes its place:
+    // what is set up on it may still be answered there.
+    void adopt(tcp::socket socket) {
         ++counters_.switch_connections;
-        connection_ = std::make_shared<Connection>(std::move(socket), counters_);
+        if (previous_) previous_->close();
+        previous_ = std::exchange(connection_, std::make_shared<Connection>(std::move(socket), counters_));
+        heard_ = Clock::now();
         for (const CallId& call : std::exchange(releases_, {}))
             connection_->send(protocol::SwitchSession::release(call));
         for (auto& [call, frame] : std::exchange(waiting_, {})) connection_->send(std::move(frame));
-        protocol::SwitchSession session(id_, events_, counters_);
-        const auto connection = connection_;
-        co_await connection->read_into(session);
-        connection->close();
-        connection_ = nullptr;
-        if (stopped_) co_return;
-        ++counters_.switch_connections_lost;
-        events_.connection_lost(id_);
+        spawn(io_, converse(shared_from_this(), connection_));
     }
 
-    // Set-ups that no connection came up for: they never ran.
-    void lose(Outcome outcome) {
-        for (const auto& [call, frame] : std::exchange(waiting_, {}))
-            events_.ended(id_, call, outcome, Cause::none, {});
+    static asio::awaitable<void> converse(std::shared_ptr<Peer> self,
+                                          std::shared_ptr<Connection> connection) {
+        protocol::SwitchSession session(self->id_, self->events_, self->counters_);
+        co_await connection->read_into(session, [&self] { self->heard_ = Clock::now(); });
+        connection->close();
+        if (self->stopped_) co_return;
+        ++self->counters_.switch_connections_lost;
+        if (connection == self->previous_) self->previous_ = nullptr;
+        if (connection != self->connection_) co_return;
+        self->connection_ = nullptr;
+        self->pause_.cancel();
+        self->events_.connection_lost(self->id_);
     }
 
     asio::io_context& io_;
@@ -122,7 +149,9 @@
     Duration time_out_;
     SwitchEvents& events_;
     Counters& counters_;
-    std::shared_ptr<Connection> connection_;
+    std::shared_ptr<Connection> connection_, previous_;
+    Clock::time_point heard_{};  // the last that came on any connection
+    bool used_ = false;          // something was set up there, so that its silence means something
     std::vector<std::pair<CallId, protocol::Frame>> waiting_;  // set-ups for the next connection
     std::vector<CallId> releases_;
     bool stopped_ = false;
@@ -142,7 +171,12 @@
         }
         named.insert(entry.exchange);
         const auto at = peers_.find(entry.exchange);
-        if (at != peers_.end() && at->second->address() == address) continue;
+        if (at != peers_.end() && at->second->address() == address) {
+            // Guards against a set-up that waits for a connection and is written long after the drain was
+            // told.
+            if (entry.state == ExchangeState::draining) at->second->lose(Outcome::not_sent);
+            continue;
+        }
         drop(entry.exchange);
         auto peer =
             std::make_shared<Peer>(io_, entry.exchange, address, connect_time_out_, *events_, counters_);
--- a/src/protocol/codec.hpp
+++ b/src/protocol/codec.hpp
@@ -72,6 +72,16 @@
     void filled(std::size_t bytes);
     Next next(Message& message);
 
+    // Both in one: takes what was read and hands on each message. False once one is malformed.
+    template <class F>
+    bool fed(std::size_t bytes, F&& take) {
+        filled(bytes);
+        Message message;
+        Next found = next(message);
+        for (; found == Next::message; found = next(message)) take(message);
+        return found != Next::malformed;
+    }
+
    private:
     std::vector<char> bytes_;
     std::size_t begin_ = 0, end_ = 0;
--- a/src/protocol/switches.cpp
+++ b/src/protocol/switches.cpp
@@ -30,18 +30,9 @@
 }  // namespace
 
 bool SwitchSession::fed(std::size_t bytes) {
-    inbox_.filled(bytes);
-    for (Message message;;) {
-        switch (inbox_.next(message)) {
-            case Inbox::Next::more:
-                return true;
-            case Inbox::Next::malformed:
-                ++counters_.malformed;
-                return false;
-            case Inbox::Next::message:
-                take(message);
-        }
-    }
+    const bool well_formed = inbox_.fed(bytes, [this](const Message& message) { take(message); });
+    if (!well_formed) ++counters_.malformed;
+    return well_formed;
 }
 
 void SwitchSession::take(const Message& message) {
--- a/tests/net/calls_test.cpp
+++ b/tests/net/calls_test.cpp
@@ -101,6 +101,7 @@
     CHECK(w.sent.size() == 1 && w.sent[0].at == "s-1" && w.sent[0].description == "offer");
     CHECK(w.sent[0].wait > 2s && w.sent[0].wait <= 3s);
     w.offer("a");  // repeated
+    CHECK(w.counters.repeated == 1 && w.gatekeeper.unanswered() == 1);
     w.gatekeeper.stands("s-1", "a", "answer");
     w.gatekeeper.stands("s-1", "a", "answer");
     CHECK(w.heard("a") == Words{"answer answer"});
