--- a/src/net/servers.cpp
+++ b/src/net/servers.cpp
@@ -12,8 +12,8 @@
 
 constexpr Duration kFirstPause = std::chrono::milliseconds(50);  // until it is dialled again, doubling
 constexpr Duration kWatch = std::chrono::milliseconds(250);
-constexpr Duration kSilence = std::chrono::seconds(2);          // until a further connection is tried
-constexpr Duration kCutOff = std::chrono::milliseconds(4500);   // of dials that time out, until calls are cut
+constexpr int kSilence = 4;  // connect time-outs, until a further connection is tried
+constexpr int kCutOff = 9;   // connect time-outs of dials that time out, until calls are cut
 constexpr Duration kLeastPause = std::chrono::milliseconds(5);  // even where set-ups wait for it
 
 }  // namespace
@@ -82,7 +82,7 @@
         bool had = false;  // a connection, since the process was last known to live
         std::optional<Clock::time_point> unreachable;
         while (!stopped_) {
-            if (connection_ && (!used_ || Clock::now() - heard_ < kSilence)) {
+            if (connection_ && (!used_ || Clock::now() - heard_ < kSilence * time_out_)) {
                 pause_.expires_after(kWatch);
                 co_await pause_.async_wait(asio::as_tuple(asio::use_awaitable));
                 continue;
@@ -104,7 +104,7 @@
                 // dropped. Neither an old connection nor a new one speaks for so long that they must be.
                 if (error == asio::error::timed_out) {
                     if (!unreachable) unreachable = Clock::now();
-                    dead = Clock::now() - *unreachable >= kCutOff;
+                    dead = Clock::now() - *unreachable >= kCutOff * time_out_;
                 }
                 if (dead && std::exchange(had, false)) events_.process_dead(id_);
             }
--- a/tests/net/program_test.cpp
+++ b/tests/net/program_test.cpp
@@ -104,6 +104,7 @@
             inbox_.filled(static_cast<std::size_t>(bytes));
         }
     }
+    int fd() const { return fd_.get(); }
     bool closed_by_far_end() {
         char byte = 0;
         const ssize_t bytes = ::recv(fd_.get(), &byte, 1, 0);
@@ -225,17 +226,34 @@
     CHECK(program.log().find("'limits' must be an object") != std::string::npos);
 }
 
+// A long connect time-out keeps the program from taking a slow test for a silent switch.
+std::string config(int port, const Listener& feed, const Listener& at_switch, const char* connect_time_out) {
+    return R"({"name":"n","listen":")" + own_address() + ':' + std::to_string(port) + R"(","feed":")" +
+           feed.address() + R"(","seed":"5","known":{"n":1,"events":[)" +
+           event(1, true, server(1, at_switch.address())) +
+           R"(]},"settings":{"self_index":0,"fleet_size":3,"family_info":{"this_node":0,"release_s":0.3},)"
+           R"("grades":[{"name":"move","aim_s":20,"deadline_s":90}],"limits":{"send_cap":5,"open_cap":100,)"
+           R"("dial_timeout_s":)" +
+           connect_time_out + R"(},"obligations":{"drain_grace_s":0.5,"grace_to_answer_s":0.02}}})";
+}
+
+// A cut link says nothing: without a further connection the releases of dropped calls never came.
+void a_silent_switch_is_dialled_anew(const char* path) {
+    Listener at, feed_at;
+    const int port = Listener().port();
+    Program program(path, config(port, feed_at, at, "0.1"));
+    Peer at_switch = at.accept();
+    at_switch.say(group("x0:9;x1:9"));
+    Peer caller = Peer::connect(port);
+    while (test(caller).cause != 1) usleep(5000);
+    caller.say(set_up("0000000000000001", 1, 20'000));
+    CHECK(at.accept().fd() >= 0);
+}
+
 void it_serves(const char* path) {
     Listener first, second, feed_at;
     const int port = Listener().port();  // free again, at an address that nobody else uses
-    Program program(
-        path,
-        R"({"name":"n","listen":")" + own_address() + ':' + std::to_string(port) + R"(","feed":")" +
-            feed_at.address() + R"(","seed":"5","known":{"n":1,"events":[)" +
-            event(1, true, server(1, first.address())) +
-            R"(]},"settings":{"self_index":0,"fleet_size":3,"family_info":{"this_node":0,"release_s":0.3},)"
-            R"("grades":[{"name":"move","aim_s":20,"deadline_s":90}],"limits":{"send_cap":5,"open_cap":100},)"
-            R"("obligations":{"drain_grace_s":0.5,"grace_to_answer_s":0.02}}})");
+    Program program(path, config(port, feed_at, first, "10"));
     Peer feed = feed_at.accept();
     CHECK(feed.line() == "SUB 1\n");
     Peer at_switch = first.accept();
@@ -327,5 +345,6 @@
 int main(int count, char** arguments) {
     CHECK(count == 2);
     bad_config_is_told_and_ends_it(arguments[1]);
+    a_silent_switch_is_dialled_anew(arguments[1]);
     it_serves(arguments[1]);
 }
