Take over a new configuration on SIGHUP, and follow the feed where it has moved

Ruled out: the feed itself; the log ends at the signal.

Now the file is read and checked by the reader of the start, all of it before any of it is used. Feed, limits, connect time-out, the module's settings and events not yet known are taken over; calls, learned tables and the feed's numbers go on. A faulty file, or one that speaks of another exchange, other classes or another listening address, is logged with its key and changes nothing. A feed address that is not numeric is now an error; it used to mean silently that no feed was followed.

Test: it_takes_a_new_configuration, over loopback with a feed that moves; without the change the program ends at the first SIGHUP.

--- a/include/nettlestall/call_control.hpp
+++ b/include/nettlestall/call_control.hpp
@@ -232,6 +232,11 @@
     // Appends what is to be done to `actions`. `now` must not run back from one event to the next.
     void handle(Instant now, const Event& event, std::vector<Action>& actions);
 
+    // Whether these settings speak of the same exchange and the same classes, so that what was learned and
+    // the calls in hand keep their meaning; only then may they be taken over in service.
+    bool can_take(const Settings& settings) const;
+    void take(Settings settings);
+
    private:
     class Impl;
     std::unique_ptr<Impl> impl_;
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -257,8 +257,19 @@
 
 class CallControl::Impl {
    public:
-    Impl(Settings settings, std::uint64_t seed) : s_(std::move(settings)), random_{seed} {
+    Impl(Settings settings, std::uint64_t seed) : random_{seed} { take(std::move(settings)); }
+
+    // The tables and the calls in hand name classes by their place.
+    bool can_take(const Settings& fresh) const {
+        return fresh.own_exchange == s_.own_exchange && fresh.pools == s_.pools &&
+               std::equal(fresh.classes.begin(), fresh.classes.end(), s_.classes.begin(), s_.classes.end(),
+                          [](const auto& a, const auto& b) { return a.name == b.name; });
+    }
+
+    void take(Settings settings) {
+        s_ = std::move(settings);
         shortest_aim_ = s_.classes.empty() ? 1.0 : 1e9;
+        longest_deadline_ = {}, mean_worth_ = mean_hold_ = 0.0;
         for (const ClassSettings& c : s_.classes) {
             shortest_aim_ = std::min(shortest_aim_, in_seconds(c.aim));
             longest_deadline_ = std::max(longest_deadline_, c.deadline);
@@ -943,6 +954,13 @@
 CallControl::CallControl(CallControl&&) noexcept = default;
 CallControl& CallControl::operator=(CallControl&&) noexcept = default;
 
+bool CallControl::can_take(const Settings& settings) const {
+    return impl_->can_take(settings);
+}
+void CallControl::take(Settings settings) {
+    impl_->take(std::move(settings));
+}
+
 void CallControl::handle(Instant now, const Event& event, std::vector<Action>& actions) {
     impl_->handle(now, event, actions);
 }
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -35,20 +35,31 @@
         std::chrono::duration_cast<Duration>(std::chrono::system_clock::now().time_since_epoch());
 };
 
+// The names of the two addresses are looked up nowhere, so they must be numeric.
+config::Config load() {
+    config::Config config = config::load();
+    if (!net::to_endpoint(config.listen)) json::bad_key("listen", "a numeric address:port");
+    if (!config.feed.empty() && !net::to_endpoint(config.feed))
+        json::bad_key("feed", "a numeric address:port");
+    return config;
+}
+
 class Program {
    public:
-    Program(asio::io_context& io, const config::Config& config, const net::tcp::endpoint& listen)
-        : servers_(io, config.net.connect_time_out, counters_),
+    Program(asio::io_context& io, const config::Config& config)
+        : listen_(config.listen),
+          servers_(io, config.net.connect_time_out, counters_),
           gatekeeper_(
               config.settings, config.seed, [this] { return clock_.now(); }, servers_, counters_,
               most_held(config)),
-          clients_(io, listen, most_clients(config), gatekeeper_, counters_),
+          clients_(io, *net::to_endpoint(listen_), most_clients(config), gatekeeper_, counters_),
           feed_(
-              io, config.feed.empty() ? std::nullopt : net::to_endpoint(config.feed), config.known,
+              io, net::to_endpoint(config.feed), config.known,
               [this](const ListEvent& event) { take(event); }, counters_),
           alarm_(io),
           stop_tick_(io),
           signals_(io, SIGTERM, SIGINT, SIGUSR1) {
+        signals_.add(SIGHUP);
         servers_.report_to(gatekeeper_);
         gatekeeper_.on_schedule([this](Instant at) { arm(at); });
         gatekeeper_.on_note([this](const std::string& text) {
@@ -96,12 +107,35 @@
             const int signal = co_await signals_.async_wait(asio::use_awaitable);
             if (signal == SIGUSR1) {
                 std::cerr << counters_ << std::endl;
+            } else if (signal == SIGHUP) {
+                reload();
             } else if (!std::exchange(stopping_, true)) {
                 net::spawn(alarm_.get_executor(), stop());
             }
         }
     }
 
+    // A faulty file changes nothing: all of it is read and checked before any of it is used.
+    void reload() {
+        try {
+            const config::Config fresh = load();
+            if (fresh.listen != listen_) json::bad_key("listen", "the same until a restart");
+            if (!gatekeeper_.can_take(fresh.settings))
+                json::bad(
+                    "in 'settings': 'grades', 'layout' and 'this_node' must be the same until a restart");
+            gatekeeper_.take(fresh.settings, most_held(fresh));
+            servers_.use_connect_time_out(fresh.net.connect_time_out);
+            clients_.use_most(most_clients(fresh));
+            feed_.catch_up(fresh.known, fresh.events);
+            feed_.move(net::to_endpoint(fresh.feed));
+            ++counters_.reloads;
+            std::cerr << "configuration taken over, feed " << fresh.feed << std::endl;
+        } catch (const std::exception& problem) {
+            ++counters_.reloads_refused;
+            std::cerr << "configuration refused, the old one stays: " << problem.what() << std::endl;
+        }
+    }
+
     // Goes on serving until callers have had the time to turn elsewhere and all that is owed is answered.
     asio::awaitable<void> stop() {
         gatekeeper_.leave();
@@ -119,6 +153,7 @@
         static_cast<asio::io_context&>(stop_tick_.get_executor().context()).stop();
     }
 
+    std::string listen_;
     UnixClock clock_;
     Counters counters_;
     net::Servers servers_;
@@ -134,11 +169,9 @@
 }  // namespace
 
 int run() {
-    const config::Config config = config::load();
-    const auto listen = net::to_endpoint(config.listen);
-    if (!listen) json::bad("'listen' must be a numeric address:port");
+    const config::Config config = load();
     asio::io_context io(1);
-    Program program(io, config, *listen);
+    Program program(io, config);
     std::cerr << config.name << ": listening on " << config.listen << std::endl;
     io.run();
     std::cerr << program.counters() << std::endl;
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -15,6 +15,7 @@
             Counters& counters);
 
     void start();
+    void use_most(std::size_t most) { most_ = most; }
     void stop();        // no new connections
     bool idle() const;  // all that was to be written has been
 
--- a/src/net/feed.cpp
+++ b/src/net/feed.cpp
@@ -23,7 +23,6 @@
       silence_(io) {}
 
 void Feed::start() {
-    if (!at_) return;
     spawn(socket_.get_executor(), follow());
     spawn(socket_.get_executor(), watch());
 }
@@ -36,35 +35,52 @@
     silence_.cancel();
 }
 
+void Feed::move(std::optional<tcp::endpoint> to) {
+    if (to == at_) return;
+    at_ = to;
+    moved_ = true;
+    boost::system::error_code ignored;
+    socket_.close(ignored);
+    pause_.cancel();
+}
+
+void Feed::catch_up(std::int64_t last, const std::vector<ListEvent>& events) {
+    session_.catch_up(last, events);
+}
+
 asio::awaitable<void> Feed::follow() {
     while (!stopped_) {
-        const auto error = co_await connect(socket_, *at_, kConnectTimeOut);
-        if (!error) {
-            ++counters_.feed_connections;
-            set_up_socket(socket_);
-            heard_ = Clock::now();
-            const std::string line = session_.subscribe();
-            co_await asio::async_write(socket_, asio::buffer(line), asio::as_tuple(asio::use_awaitable));
-            for (;;) {
-                const auto space = session_.space();
-                const auto [broken, bytes] = co_await socket_.async_read_some(
-                    asio::buffer(space.data(), space.size()), asio::as_tuple(asio::use_awaitable));
-                if (broken) break;
-                heard_ = Clock::now();
-                if (!session_.fed(bytes)) {
-                    ++counters_.malformed;
-                    break;
-                }
-            }
-        }
+        moved_ = false;
+        if (at_) co_await converse();
         boost::system::error_code ignored;
         socket_.close(ignored);
         if (stopped_) co_return;
+        if (moved_) continue;  // dialled at once: the old address tells nothing more
         pause_.expires_after(kPause);
         co_await pause_.async_wait(asio::as_tuple(asio::use_awaitable));
     }
 }
 
+asio::awaitable<void> Feed::converse() {
+    if (co_await connect(socket_, *at_, kConnectTimeOut) || moved_) co_return;
+    ++counters_.feed_connections;
+    set_up_socket(socket_);
+    heard_ = Clock::now();
+    const std::string line = session_.subscribe();
+    co_await asio::async_write(socket_, asio::buffer(line), asio::as_tuple(asio::use_awaitable));
+    for (;;) {
+        const auto space = session_.space();
+        const auto [broken, bytes] = co_await socket_.async_read_some(
+            asio::buffer(space.data(), space.size()), asio::as_tuple(asio::use_awaitable));
+        // What had come from the address before a move is not taken: the new one tells it again.
+        if (broken || moved_) co_return;
+        heard_ = Clock::now();
+        if (session_.fed(bytes)) continue;
+        ++counters_.malformed;
+        co_return;
+    }
+}
+
 // Guards against a feed that has fallen silent on an open connection: drains would be learned too late.
 asio::awaitable<void> Feed::watch() {
     while (!stopped_) {
--- a/src/net/feed.hpp
+++ b/src/net/feed.hpp
@@ -17,11 +17,18 @@
     void start();
     void stop();
 
+    // Follows the feed at another address from now on, behind the last event that is known.
+    void move(std::optional<tcp::endpoint> to);
+    // Events that came by another way than the feed; those known already are passed over.
+    void catch_up(std::int64_t last, const std::vector<ListEvent>& events);
+
    private:
     asio::awaitable<void> follow();
+    asio::awaitable<void> converse();
     asio::awaitable<void> watch();
 
     std::optional<tcp::endpoint> at_;
+    bool moved_ = false;
     protocol::FeedSession session_;
     Counters& counters_;
     tcp::socket socket_;
--- a/src/net/gatekeeper.cpp
+++ b/src/net/gatekeeper.cpp
@@ -25,6 +25,12 @@
       most_held_(most_held),
       started_(time_()) {}
 
+void Gatekeeper::take(const Settings& settings, std::size_t most_held) {
+    settings_ = settings;
+    control_.take(settings);
+    most_held_ = most_held;
+}
+
 // ---- The module ------------------------------------------------------------------------------------
 
 void Gatekeeper::tell(Event event) {
--- a/src/net/gatekeeper.hpp
+++ b/src/net/gatekeeper.hpp
@@ -31,6 +31,10 @@
     void list(const ListEvent& event);
     void run_due();
 
+    // New settings in service: calls, timers and what was learned go on.
+    bool can_take(const Settings& settings) const { return control_.can_take(settings); }
+    void take(const Settings& settings, std::size_t most_held);
+
     // From the front's tests on: nothing new is wanted.
     void leave() { leaving_ = true; }
     std::size_t unanswered() const { return unanswered_; }
--- a/src/net/servers.cpp
+++ b/src/net/servers.cpp
@@ -32,6 +32,7 @@
           counters_(counters) {}
 
     const std::string& address() const { return address_; }
+    void use_connect_time_out(Duration time_out) { time_out_ = time_out; }
     bool idle() const { return !connection_ || connection_->idle(); }
 
     void start() { spawn(io_, run(shared_from_this())); }
@@ -190,6 +191,11 @@
     for (const ExchangeId& id : left) drop(id);
 }
 
+void Servers::use_connect_time_out(Duration time_out) {
+    connect_time_out_ = time_out;
+    for (const auto& [id, peer] : peers_) peer->use_connect_time_out(time_out);
+}
+
 void Servers::drop(const ExchangeId& id) {
     const auto at = peers_.find(id);
     if (at == peers_.end()) return;
--- a/src/net/servers.hpp
+++ b/src/net/servers.hpp
@@ -17,6 +17,7 @@
 
     void report_to(SwitchEvents& events) { events_ = &events; }
     void list(const ListEvent& event);
+    void use_connect_time_out(Duration time_out);
     void stop();
     bool idle() const;  // all that was to be written has been
 
--- a/src/protocol/feed.cpp
+++ b/src/protocol/feed.cpp
@@ -75,6 +75,18 @@
     return end_ <= kLongestLine;
 }
 
+void FeedSession::catch_up(std::int64_t last, const std::vector<ListEvent>& events) {
+    for (const ListEvent& event : events) take(event);
+    last_ = std::max(last_, last);
+}
+
+// After a resumption events may come twice; a bare number is a sign of life and proves nothing read.
+void FeedSession::take(const ListEvent& event) {
+    if (!event.has_list || event.number <= last_) return;
+    last_ = event.number;
+    take_(event);
+}
+
 bool FeedSession::line(std::string_view text) {
     if (!text.empty() && text.back() == '\r') text.remove_suffix(1);
     if (text.empty()) return true;
@@ -82,11 +94,7 @@
     document.Parse<rapidjson::kParseIterativeFlag>(text.data(), text.size());
     if (document.HasParseError()) return false;
     try {
-        const ListEvent event = read_list_event(document);
-        // After a resumption events may come twice; a bare number is a sign of life and proves nothing read.
-        if (!event.has_list || event.number <= last_) return true;
-        last_ = event.number;
-        take_(event);
+        take(read_list_event(document));
     } catch (const json::BadInput&) {
         return false;
     }
--- a/src/protocol/feed.hpp
+++ b/src/protocol/feed.hpp
@@ -28,8 +28,11 @@
     std::span<char> space();
     // Takes what was read into space(). False: malformed, the connection is to be closed.
     bool fed(std::size_t bytes);
+    // What another source has told, up to number `last`.
+    void catch_up(std::int64_t last, const std::vector<ListEvent>& events);
 
    private:
+    void take(const ListEvent& event);
     bool line(std::string_view text);
 
     Take take_;
--- a/tests/net/program_test.cpp
+++ b/tests/net/program_test.cpp
@@ -146,7 +146,7 @@
    public:
     Program(const char* path, const std::string& config)
         : stem_("/tmp/program_test." + std::to_string(getpid())) {
-        std::ofstream(stem_ + ".json") << config;
+        configure(config);
         pid_ = fork();
         CHECK(pid_ >= 0);
         if (pid_ == 0) {
@@ -161,6 +161,7 @@
         if (pid_ > 0) ::kill(pid_, SIGKILL), waitpid(pid_, nullptr, 0);
         for (const char* end : {".json", ".log"}) unlink((stem_ + end).c_str());
     }
+    void configure(const std::string& config) { std::ofstream(stem_ + ".json") << config; }
     void signal(int number) { CHECK(::kill(pid_, number) == 0); }
     int exit_code() {
         int status = 0;
@@ -250,6 +251,47 @@
     CHECK(at.accept().fd() >= 0);
 }
 
+// The file is replaced in service. A faulty one changes nothing; a good one moves the feed, whose numbers go
+// on, and a call that is out meanwhile gets its answer.
+void it_takes_a_new_configuration(const char* path) {
+    Listener first, second, third, feed_at, moved_to;
+    const int port = Listener().port();
+    Program program(path, config(port, feed_at, first, "10"));
+    Peer feed = feed_at.accept();
+    CHECK(feed.line() == "SUB 1\n");
+    Peer at_switch = first.accept();
+    at_switch.say(group("x0:9;x1:9"));
+    Peer caller = Peer::connect(port);
+    while (test(caller).cause != 1) usleep(5000);
+    const CallId one = "0000000000000001", two = "0000000000000002";
+    caller.say(set_up(one, 1, 20'000));
+    CHECK(at_switch.hear().call == one);
+
+    program.configure(config(port, moved_to, first, "-1"));
+    program.signal(SIGHUP);
+    program.await_log("'dial_timeout_s' must be more than 0");
+    program.configure(config(port + 1, moved_to, first, "10"));
+    program.signal(SIGHUP);
+    program.await_log("'listen' must be the same until a restart");
+    feed.say(event(2, false, server(2, second.address())) + "\n");
+    Peer at_second = second.accept();
+
+    program.configure(config(port, moved_to, first, "10"));
+    program.signal(SIGHUP);
+    Peer moved = moved_to.accept();
+    CHECK(moved.line() == "SUB 2\n");
+    CHECK(feed.closed_by_far_end());
+    moved.say(event(3, false, server(3, third.address())) + "\n");
+    Peer at_third = third.accept();
+    at_switch.say(answer(one));
+    CHECK(caller.hear().description == "media\r\n of " + one);
+    at_third.say(group("x0:9;x1:9"));
+    caller.say(set_up(two, 3, 20'000));
+    CHECK(at_third.hear().call == two);
+    program.signal(SIGUSR1);
+    program.await_log(" reloads=1 reloads_refused=2 ");
+}
+
 void it_serves(const char* path) {
     Listener first, second, feed_at;
     const int port = Listener().port();  // free again, at an address that nobody else uses
@@ -346,5 +388,6 @@
     CHECK(count == 2);
     bad_config_is_told_and_ends_it(arguments[1]);
     a_silent_switch_is_dialled_anew(arguments[1]);
+    it_takes_a_new_configuration(arguments[1]);
     it_serves(arguments[1]);
 }
