Close callers that hold connections for nothing, make room at the cap, keep the unreadable here

A log of every set-up in and every loss of a switch's connection (a probe, not kept) showed the id nought before each loss: Peer::set_up passed it on, the switch closed with all that was open there, and the calls of others were reset, up to five times over. Nothing closed a connection that said nothing (Clients::serve read without end), and at the cap Clients::accept turned the newcomer away, whoever it was.

Now: a connection that asked for nothing within 2 s, or stopped within a message for 2 s, is closed; ordinary callers hold idle ones as before. At the cap an idle connection of whoever holds the most makes room. The id nought, and what is longer than a message may be once it is passed on, are malformed. A width that is not its class's and no patience fail at once. An open set-up's id that comes on another connection fails there, and only its own connection gives it up. A connection at rest takes 4 KiB in place of 32, and the caps follow from memory as well as from descriptors; a feed line may take 1/128 of the memory where it could take 4 MiB.

Tests: idle_connections_make_room, a_set_up_belongs_to_its_connection, what_no_switch_can_read_is_malformed, memory_is_taken_for_a_message_only_while_it_comes.

--- a/src/counters.hpp
+++ b/src/counters.hpp
@@ -14,6 +14,7 @@
     std::uint64_t ended = 0, cut = 0, released = 0, crossed = 0;  // standing calls; answers that came late
     std::uint64_t group_states = 0, list_events = 0, tests = 0, ignored = 0, malformed = 0;
     std::uint64_t client_connections = 0, client_connections_turned_away = 0, overflowed = 0;
+    std::uint64_t client_connections_displaced = 0, client_connections_overdue = 0;
     std::uint64_t reloads = 0, reloads_refused = 0;  // of the configuration, on SIGHUP
     std::uint64_t switch_connections = 0, switch_connections_lost = 0, feed_connections = 0;
 };
@@ -30,6 +31,8 @@
     f("list_events", c.list_events), f("tests", c.tests), f("ignored", c.ignored);
     f("malformed", c.malformed), f("client_connections", c.client_connections);
     f("client_connections_turned_away", c.client_connections_turned_away);
+    f("client_connections_displaced", c.client_connections_displaced);
+    f("client_connections_overdue", c.client_connections_overdue);
     f("overflowed", c.overflowed), f("reloads", c.reloads), f("reloads_refused", c.reloads_refused);
     f("switch_connections", c.switch_connections);
     f("switch_connections_lost", c.switch_connections_lost), f("feed_connections", c.feed_connections);
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -55,7 +55,7 @@
           clients_(io, *net::to_endpoint(listen_), most_clients(config), gatekeeper_, counters_),
           feed_(
               io, net::to_endpoint(config.feed), config.known,
-              [this](const ListEvent& event) { take(event); }, counters_),
+              [this](const ListEvent& event) { take(event); }, longest_line(config), counters_),
           alarm_(io),
           stop_tick_(io),
           signals_(io, SIGTERM, SIGINT, SIGUSR1) {
@@ -79,15 +79,22 @@
     const Counters& counters() const { return counters_; }
 
    private:
+    static std::size_t memory(const config::Config& config) {
+        return static_cast<std::size_t>(config.memory_mb) * 1024 * 1024;
+    }
+
+    // Half of the memory for the connections' queues and buffers, were all as full as they may be.
     static std::size_t most_clients(const config::Config& config) {
         const auto sockets = static_cast<std::size_t>(config.sockets);
-        return sockets - std::min(kSpareSockets, sockets / 2);
+        return std::max<std::size_t>(1, std::min(sockets - std::min(kSpareSockets, sockets / 2),
+                                                 memory(config) / 2 / net::kMostBuffered));
     }
 
-    // A sixth for descriptions of waiting calls; connections' queues and buffers may take half.
-    static std::size_t most_held(const config::Config& config) {
-        return static_cast<std::size_t>(config.memory_mb) * 1024 * 1024 / 6;
-    }
+    // A sixth for descriptions of waiting calls.
+    static std::size_t most_held(const config::Config& config) { return memory(config) / 6; }
+
+    // Read as JSON, a line takes some ten times its length.
+    static std::size_t longest_line(const config::Config& config) { return memory(config) / 128; }
 
     // The call table first: it withdraws what is out to an exchange before its connection goes.
     void take(const ListEvent& event) {
@@ -126,6 +133,7 @@
             gatekeeper_.take(fresh.settings, most_held(fresh));
             servers_.use_connect_time_out(fresh.net.connect_time_out);
             clients_.use_most(most_clients(fresh));
+            feed_.use_longest_line(longest_line(fresh));
             feed_.catch_up(fresh.known, fresh.events);
             feed_.move(net::to_endpoint(fresh.feed));
             ++counters_.reloads;
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -1,32 +1,76 @@
 #include "net/clients.hpp"
 
 #include <algorithm>
-#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <tuple>
+#include <utility>
 
 namespace nettlestall::net {
 namespace {
 
-constexpr std::chrono::milliseconds kAcceptPause{20};  // after an error such as too many descriptors
+using Clock = std::chrono::steady_clock;
+using std::chrono::milliseconds;
 
-struct Writer final : protocol::CallerSession::Out {
-    explicit Writer(Connection& to) : connection(to) {}
-    void send(protocol::Frame frame) override { connection.send(std::move(frame)); }
-    Connection& connection;
-};
+constexpr milliseconds kAcceptPause{20};  // after an error such as too many descriptors
+constexpr milliseconds kSweep{200};
+constexpr milliseconds kFirstWord{2000};      // from its start until a connection has asked for something
+constexpr milliseconds kRestOfMessage{2000};  // from a message's first byte until its last
 
 }  // namespace
 
+class Clients::Client final : public protocol::CallerSession::Out {
+   public:
+    Client(tcp::socket socket, CallerEvents& events, Counters& counters)
+        : connection_(std::make_shared<Connection>(std::move(socket), counters)),
+          session_(events, *this, counters, connection_->origin()) {}
+
+    void send(protocol::Frame frame) override { connection_->send(std::move(frame)); }
+    Connection& connection() { return *connection_; }
+    protocol::CallerSession& session() { return session_; }
+    const CallerLink::Use& use() const { return session_.use; }
+    bool idle() const { return connection_->idle(); }
+    Clock::time_point heard() const { return heard_; }
+
+    void hears(Clock::time_point now) {
+        if (!session_.within_message()) began_ = now;
+        look();
+        heard_ = now;
+    }
+    // Ordinary callers may hold a connection without a call for as long as they like: only one that never
+    // asked for anything, or that stopped within a message, takes a descriptor for nothing.
+    bool overdue(Clock::time_point now) {
+        look();
+        return session_.within_message() ? now - began_ >= kRestOfMessage
+                                         : !session_.has_asked() && now - opened_ >= kFirstWord;
+    }
+
+   private:
+    // Where a read brought a message's end, what is begun now came with it.
+    void look() {
+        if (std::exchange(whole_, session_.whole_messages()) != session_.whole_messages()) began_ = heard_;
+    }
+
+    std::shared_ptr<Connection> connection_;
+    protocol::CallerSession session_;
+    Clock::time_point opened_ = Clock::now(), heard_ = opened_;
+    Clock::time_point began_ = opened_;  // the message that is still to come whole
+    std::uint64_t whole_ = 0;
+};
+
 Clients::Clients(asio::io_context& io, const tcp::endpoint& listen, std::size_t most, CallerEvents& events,
                  Counters& counters)
-    : acceptor_(io), most_(most), events_(events), counters_(counters) {
+    : acceptor_(io), sweep_(io), most_(most), events_(events), counters_(counters) {
     acceptor_.open(listen.protocol());
     acceptor_.set_option(tcp::acceptor::reuse_address(true));
     acceptor_.bind(listen);
     acceptor_.listen(1024);
 }
 
+Clients::~Clients() = default;
+
 void Clients::start() {
     spawn(acceptor_.get_executor(), accept());
+    spawn(acceptor_.get_executor(), sweep());
 }
 
 void Clients::stop() {
@@ -35,7 +79,7 @@
 }
 
 bool Clients::idle() const {
-    return std::all_of(open_.begin(), open_.end(), [](const auto& connection) { return connection->idle(); });
+    return std::all_of(open_.begin(), open_.end(), [](const auto& client) { return client->idle(); });
 }
 
 asio::awaitable<void> Clients::accept() {
@@ -47,24 +91,60 @@
             co_await pause.async_wait(asio::as_tuple(asio::use_awaitable));
             continue;
         }
-        if (open_.size() >= most_) {  // guards the descriptors that the carrier switches need
+        if (open_.size() >= most_ && !make_room()) {  // guards the descriptors that the switches need
             ++counters_.client_connections_turned_away;
             continue;
         }
         ++counters_.client_connections;
-        open_.push_back(std::make_shared<Connection>(std::move(socket), counters_));
+        open_.push_back(std::make_shared<Client>(std::move(socket), events_, counters_));
+        events_.caller_up(open_.back()->session());
         spawn(acceptor_.get_executor(), serve(open_.back()));
     }
 }
 
-asio::awaitable<void> Clients::serve(std::shared_ptr<Connection> connection) {
-    Writer writer(*connection);
-    protocol::CallerSession session(events_, writer, counters_, connection->origin());
-    events_.caller_up(session);
-    co_await connection->read_into(session, [] {});
-    events_.caller_gone(session);
-    connection->close();
-    std::erase(open_, connection);
+// Guards against callers that hold connections for nothing, be it one with hundreds or hundreds with one
+// each: a further caller takes the place of a connection without a set-up. Whoever holds the most of these
+// loses one first, then one that never asked, one without a standing call, the one longest silent.
+bool Clients::make_room() {
+    std::map<std::string_view, int> held;
+    for (const auto& client : open_) ++held[client->session().origin()];
+    const auto worth_keeping = [&held](const std::shared_ptr<Client>& client) {
+        protocol::CallerSession& session = client->session();
+        return std::tuple(session.use.open > 0, -held[session.origin()], session.has_asked(),
+                          session.use.standing > 0, client->heard());
+    };
+    const auto least = std::min_element(open_.begin(), open_.end(), [&](const auto& a, const auto& b) {
+        return worth_keeping(a) < worth_keeping(b);
+    });
+    if (least == open_.end() || (*least)->use().open > 0) return false;
+    ++counters_.client_connections_displaced;
+    drop(*least);
+    return true;
+}
+
+// At once, not when its coroutine ends: nothing more is to be sent there, and its place is free.
+void Clients::drop(std::shared_ptr<Client> client) {
+    if (std::erase(open_, client) == 0) return;
+    events_.caller_gone(client->session());
+    client->connection().close();
+}
+
+asio::awaitable<void> Clients::sweep() {
+    while (acceptor_.is_open()) {
+        sweep_.expires_after(kSweep);
+        co_await sweep_.async_wait(asio::as_tuple(asio::use_awaitable));
+        std::vector<std::shared_ptr<Client>> overdue;
+        const auto now = Clock::now();
+        std::copy_if(open_.begin(), open_.end(), std::back_inserter(overdue),
+                     [now](const auto& client) { return client->overdue(now); });
+        counters_.client_connections_overdue += overdue.size();
+        for (const auto& client : overdue) drop(client);
+    }
+}
+
+asio::awaitable<void> Clients::serve(std::shared_ptr<Client> client) {
+    co_await client->connection().read_into(client->session(), [&client] { client->hears(Clock::now()); });
+    drop(client);
 }
 
 }  // namespace nettlestall::net
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include "net/connection.hpp"
 #include "protocol/callers.hpp"
@@ -13,6 +14,7 @@
     // Listens at once; throws boost::system::system_error if it cannot.
     Clients(asio::io_context& io, const tcp::endpoint& listen, std::size_t most, CallerEvents& events,
             Counters& counters);
+    ~Clients();
 
     void start();
     void use_most(std::size_t most) { most_ = most; }
@@ -20,14 +22,20 @@
     bool idle() const;  // all that was to be written has been
 
    private:
+    class Client;
+
     asio::awaitable<void> accept();
-    asio::awaitable<void> serve(std::shared_ptr<Connection> connection);
+    asio::awaitable<void> sweep();
+    asio::awaitable<void> serve(std::shared_ptr<Client> client);
+    bool make_room();
+    void drop(std::shared_ptr<Client> client);
 
     tcp::acceptor acceptor_;
+    asio::steady_timer sweep_;
     std::size_t most_;
     CallerEvents& events_;
     Counters& counters_;
-    std::vector<std::shared_ptr<Connection>> open_;
+    std::vector<std::shared_ptr<Client>> open_;
 };
 
 }  // namespace nettlestall::net
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -16,9 +16,6 @@
 namespace nettlestall::net {
 namespace {
 
-// Bytes; a far end that reads so little is as good as gone. With the most connections that fit 1,024
-// descriptors this stays under 64 MB.
-constexpr std::size_t kMostQueued = 64 * 1024;
 constexpr std::size_t kGathered = 32;  // messages in one write
 
 template <int Level, int Name>
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -23,6 +23,10 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
+// Bytes: what a connection holds at the most, queued messages and one that is read.
+constexpr std::size_t kMostQueued = 64 * 1024;
+constexpr std::size_t kMostBuffered = kMostQueued + protocol::kLongestMessage;
+
 class Connection : public std::enable_shared_from_this<Connection> {
    public:
     Connection(tcp::socket socket, Counters& counters);
@@ -41,7 +45,8 @@
             const std::span<char> space = session.space();
             const auto [error, bytes] = co_await socket_.async_read_some(
                 asio::buffer(space.data(), space.size()), asio::as_tuple(asio::use_awaitable));
-            if (error) co_return;
+            // Closed meanwhile: whoever did so wants to hear nothing more, though bytes had come.
+            if (error || !open()) co_return;
             heard();
             if (!session.fed(bytes)) co_return;
         }
--- a/src/net/feed.cpp
+++ b/src/net/feed.cpp
@@ -14,9 +14,9 @@
 }  // namespace
 
 Feed::Feed(asio::io_context& io, std::optional<tcp::endpoint> at, std::int64_t known,
-           protocol::FeedSession::Take take, Counters& counters)
+           protocol::FeedSession::Take take, std::size_t longest_line, Counters& counters)
     : at_(std::move(at)),
-      session_(known, std::move(take)),
+      session_(known, std::move(take), longest_line),
       counters_(counters),
       socket_(io),
       pause_(io),
--- a/src/net/feed.hpp
+++ b/src/net/feed.hpp
@@ -12,7 +12,9 @@
 class Feed {
    public:
     Feed(asio::io_context& io, std::optional<tcp::endpoint> at, std::int64_t known,
-         protocol::FeedSession::Take take, Counters& counters);
+         protocol::FeedSession::Take take, std::size_t longest_line, Counters& counters);
+
+    void use_longest_line(std::size_t longest) { session_.use_longest(longest); }
 
     void start();
     void stop();
--- a/src/net/gatekeeper.cpp
+++ b/src/net/gatekeeper.cpp
@@ -164,6 +164,7 @@
 
 // The call has its final answer, or is owed none.
 void Gatekeeper::settle_answer(Call& call) {
+    if (call.link) --call.link->use.open;
     --unanswered_;
     held_ -= call.description->size();
     call.description = nullptr;
@@ -173,8 +174,10 @@
 // ---- Callers ---------------------------------------------------------------------------------------
 
 void Gatekeeper::offered(CallerLink& link, const Offer& offer) {
-    if (calls_.count(offer.call)) {
+    if (const auto at = calls_.find(offer.call); at != calls_.end()) {
         ++counters_.repeated;
+        // On the call's own connection its one answer will do. Elsewhere somebody else waits for an answer.
+        if (at->second.link != &link) link.release(offer.call, Ending::failed);
         return;
     }
     ++counters_.set_ups;
@@ -185,13 +188,14 @@
     const bool full =
         held_ + offer.description.size() > most_held_ ||
         (settings_.max_open_calls > 0 && unanswered_ >= static_cast<std::size_t>(settings_.max_open_calls));
-    if (named == settings_.classes.end() || offer.width < 1 || offer.destination < 0 || full) {
+    if (named == settings_.classes.end() || !makes_sense(offer, *named) || full) {
         ++(full ? counters_.refused : counters_.failed);
         return link.release(offer.call, full ? Ending::refused : Ending::failed);
     }
     Call& call = calls_[offer.call];
     ++unanswered_;
     call.link = &link;
+    ++link.use.open;
     call.origin = link.origin();
     call.destination = offer.destination;
     call.transit = offer.transit;
@@ -216,9 +220,20 @@
     tell(std::move(event));
 }
 
-void Gatekeeper::released(const CallId& id) {
+// Guards against set-ups that no carrier switch can use, and that would wait here in vain: a call takes as
+// many circuits as its class is wide, and somebody waits for it.
+bool Gatekeeper::makes_sense(const Offer& offer, const ClassSettings& service_class) {
+    return offer.width == service_class.width && offer.destination >= 0 && offer.patience > Duration::zero();
+}
+
+void Gatekeeper::released(CallerLink& link, const CallId& id) {
     const auto at = calls_.find(id);
     if (at == calls_.end()) return;  // over already, and told twice
+    // A set-up is given up by whoever waits for it; a call that stands belongs to no connection.
+    if (at->second.phase != Phase::standing && at->second.link != &link) {
+        ++counters_.ignored;
+        return;
+    }
     if (at->second.phase == Phase::standing) {
         ++counters_.released;
         switches_.release(at->second.at, id);
@@ -265,7 +280,7 @@
     std::vector<CallId> open;
     for (auto& [id, call] : calls_) {
         if (call.link != &link) continue;
-        call.link = nullptr;
+        call.link = nullptr;  // and with it its use
         if (call.phase != Phase::standing) open.push_back(id);
     }
     for (const CallId& id : open) {
@@ -315,6 +330,7 @@
     settle_answer(call);
     ++counters_.stood;
     ++counters_.answered;
+    if (call.link) ++call.link->use.standing;
     if (call.link) call.link->answer(id, std::make_shared<const std::string>(description));
     tell(CallStands{id, call.attempts - 1, exchange, time_() - call.sent});
 }
@@ -355,6 +371,7 @@
     const CallId id = at->first;
     const Call call = std::move(at->second);
     calls_.erase(at);
+    if (call.link) --call.link->use.standing;
     ++(outcome == Outcome::reset ? counters_.cut : counters_.ended);
     if (tell_caller) release_caller(id, call, outcome == Outcome::reset ? Ending::cut : Ending::ended);
     tell(AttemptEnded{.call = id,
--- a/src/net/gatekeeper.hpp
+++ b/src/net/gatekeeper.hpp
@@ -43,7 +43,7 @@
     void refuse_all();
 
     void offered(CallerLink& link, const Offer& offer) override;
-    void released(const CallId& call) override;
+    void released(CallerLink& link, const CallId& call) override;
     bool ready() const override;
     void caller_up(CallerLink& link) override;
     void caller_gone(CallerLink& link) override;
@@ -121,6 +121,7 @@
     void abandon(Calls::iterator at);
     void release_caller(const CallId& id, const Call& call, Ending ending);
     void settle_answer(Call& call);
+    static bool makes_sense(const Offer& offer, const ClassSettings& service_class);
     void cut_standing(const ExchangeId& at);
 
     Settings settings_;
--- a/src/protocol/callers.cpp
+++ b/src/protocol/callers.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr std::int64_t kLongestPatienceMs = 3'600'000;
+constexpr std::size_t kSpare = 16;  // bytes: the length, and a patience in more digits
 
 int small(std::optional<std::int64_t> value, int otherwise) {
     if (!value || *value < -1 || *value > std::numeric_limits<int>::max()) return otherwise;
@@ -30,28 +31,39 @@
 }  // namespace
 
 bool CallerSession::fed(std::size_t bytes) {
-    const bool well_formed = inbox_.fed(bytes, [this](const Message& message) { take(message); });
+    const bool well_formed = inbox_.fed(bytes, [this](const Message& message) { return take(message); });
     if (!well_formed) ++counters_.malformed;
     return well_formed;
 }
 
-void CallerSession::take(const Message& message) {
+bool CallerSession::take(const Message& message) {
     switch (message.type) {
         case Type::set_up:
+            asked_ = true;
             return offer(message);
         case Type::release:
+            asked_ = true;
             // The release heard goes first: it belongs to nobody's call table.
             out_.send(FrameBuilder(Type::release_heard, message.call()).done());
-            return events_.released(message.call());
+            events_.released(*this, message.call());
+            return true;
         case Type::test:
+            asked_ = true;
             ++counters_.tests;
-            return out_.send(FrameBuilder(Type::test_result, message.call()).cause(events_.ready()).done());
+            out_.send(FrameBuilder(Type::test_result, message.call()).cause(events_.ready()).done());
+            return true;
         default:
             ++counters_.ignored;
+            return true;
     }
 }
 
-void CallerSession::offer(const Message& message) {
+bool CallerSession::offer(const Message& message) {
+    // No call has the id nought: a carrier switch closes the connection on which it comes, with all set-ups
+    // of others that are open there.
+    if (!message.names_call()) return false;
+    // Nor is there a way on for what is longer, once the patience is written anew, than a message may be.
+    if (kHeadBytes + message.parameters.size() + kSpare > kLongestMessage) return false;
     Offer offer;
     offer.call = message.call();
     offer.service_class = message.text(Code::service_class);
@@ -69,6 +81,7 @@
         if (name == "again") offer.again = whole == 1;
     });
     events_.offered(*this, offer);
+    return true;
 }
 
 void CallerSession::answer(const CallId& call, Description description) {
--- a/src/protocol/callers.hpp
+++ b/src/protocol/callers.hpp
@@ -26,19 +26,24 @@
     // Takes what was read into space(). False: malformed, the connection is to be closed.
     bool fed(std::size_t bytes);
 
+    bool has_asked() const { return asked_; }  // for anything that has an answer
+    bool within_message() const { return inbox_.within_message(); }
+    std::uint64_t whole_messages() const { return inbox_.whole_messages(); }
+
     void answer(const CallId& call, Description description) override;
     void release(const CallId& call, Ending ending) override;
     std::string_view origin() const override { return origin_; }
 
    private:
-    void take(const Message& message);
-    void offer(const Message& message);
+    bool take(const Message& message);  // false: malformed
+    bool offer(const Message& message);
 
     CallerEvents& events_;
     Out& out_;
     Counters& counters_;
     std::string origin_;
     Inbox inbox_;
+    bool asked_ = false;
 };
 
 }  // namespace nettlestall::protocol
--- a/src/protocol/codec.cpp
+++ b/src/protocol/codec.cpp
@@ -9,7 +9,7 @@
 namespace nettlestall::protocol {
 namespace {
 
-constexpr std::size_t kRoom = 32 * 1024;  // two of the longest messages
+constexpr std::size_t kRoom = 4 * 1024;  // of a connection at rest: a dozen usual messages
 
 std::size_t big_endian(const char* at) {
     return static_cast<std::size_t>(static_cast<unsigned char>(at[0])) << 8 |
@@ -65,12 +65,19 @@
 }
 
 std::span<char> Inbox::space() {
-    if (bytes_.empty()) bytes_.resize(kRoom);
     if (begin_ > 0) {
         std::memmove(bytes_.data(), bytes_.data() + begin_, end_ - begin_);
         end_ -= begin_;
         begin_ = 0;
     }
+    // Room for the whole message that has begun, whose length next() has judged; given back when it is taken.
+    const std::size_t begun = end_ < kLengthBytes ? 0 : kLengthBytes + big_endian(bytes_.data());
+    const std::size_t room = std::max(kRoom, begun);
+    if (bytes_.size() < room) bytes_.resize(room);
+    if (bytes_.size() > room) {
+        bytes_.resize(room);
+        bytes_.shrink_to_fit();
+    }
     return {bytes_.data() + end_, bytes_.size() - end_};
 }
 
@@ -92,6 +99,7 @@
     message.parameters = body.substr(kHeadBytes);
     if (!whole(message.parameters)) return Next::malformed;
     begin_ += kLengthBytes + length;
+    ++whole_messages_;
     return Next::message;
 }
 
--- a/src/protocol/codec.hpp
+++ b/src/protocol/codec.hpp
@@ -60,6 +60,7 @@
     std::string_view text(Code code) const { return find(code).value_or(std::string_view{}); }
     std::uint8_t cause() const;  // nought where there is none
     CallId call() const;         // 16 hex digits
+    bool names_call() const { return id.find_first_not_of('\0') != std::string_view::npos; }
 };
 
 // The bytes of one connection. Read into space(), tell filled(), then take messages until there is none; a
@@ -72,19 +73,25 @@
     void filled(std::size_t bytes);
     Next next(Message& message);
 
-    // Both in one: takes what was read and hands on each message. False once one is malformed.
+    bool within_message() const { return end_ > begin_; }
+    std::uint64_t whole_messages() const { return whole_messages_; }
+
+    // Both in one: takes what was read and hands on each message. False once one is malformed, or `take` says
+    // that it is.
     template <class F>
     bool fed(std::size_t bytes, F&& take) {
         filled(bytes);
         Message message;
         Next found = next(message);
-        for (; found == Next::message; found = next(message)) take(message);
+        for (; found == Next::message; found = next(message))
+            if (!take(message)) return false;
         return found != Next::malformed;
     }
 
    private:
     std::vector<char> bytes_;
     std::size_t begin_ = 0, end_ = 0;
+    std::uint64_t whole_messages_ = 0;
 };
 
 // A message on its way out: its head, and a description behind it that is not copied.
--- a/src/protocol/feed.cpp
+++ b/src/protocol/feed.cpp
@@ -7,7 +7,6 @@
 namespace {
 
 constexpr std::size_t kRead = 16 * 1024;
-constexpr std::size_t kLongestLine = 4 * 1024 * 1024;  // a whole list of many thousand exchanges
 
 ExchangeState read_state(const std::string& state) {
     if (state == "active") return ExchangeState::ready;
@@ -59,7 +58,8 @@
 }
 
 std::span<char> FeedSession::space() {
-    if (bytes_.size() < end_ + kRead) bytes_.resize(end_ + kRead);
+    bytes_.resize(end_ + kRead);
+    if (end_ == 0) bytes_.shrink_to_fit();  // after a long line
     return {bytes_.data() + end_, bytes_.size() - end_};
 }
 
@@ -67,12 +67,12 @@
     end_ += bytes;
     std::string_view rest(bytes_.data(), end_);
     for (auto at = rest.find('\n'); at != std::string_view::npos; at = rest.find('\n')) {
-        if (!line(rest.substr(0, at))) return false;
+        if (at > longest_ || !line(rest.substr(0, at))) return false;
         rest.remove_prefix(at + 1);
     }
     std::memmove(bytes_.data(), rest.data(), rest.size());
     end_ = rest.size();
-    return end_ <= kLongestLine;
+    return end_ <= longest_;
 }
 
 void FeedSession::catch_up(std::int64_t last, const std::vector<ListEvent>& events) {
--- a/src/protocol/feed.hpp
+++ b/src/protocol/feed.hpp
@@ -20,8 +20,10 @@
    public:
     using Take = std::function<void(const ListEvent&)>;
 
-    // `last` is the number of the last event that is known already.
-    FeedSession(std::int64_t last, Take take) : take_(std::move(take)), last_(last) {}
+    // `last` is the number of the last event that is known already; no line is longer than `longest`.
+    FeedSession(std::int64_t last, Take take, std::size_t longest = 256 * 1024)
+        : take_(std::move(take)), last_(last), longest_(longest) {}
+    void use_longest(std::size_t longest) { longest_ = longest; }
 
     std::int64_t last() const { return last_; }
     std::string subscribe();  // the line to write on a new connection; what was read by halves is forgotten
@@ -37,6 +39,7 @@
 
     Take take_;
     std::int64_t last_;
+    std::size_t longest_;
     std::vector<char> bytes_;
     std::size_t end_ = 0;
 };
--- a/src/protocol/signals.hpp
+++ b/src/protocol/signals.hpp
@@ -32,6 +32,12 @@
 // One connection of a caller, as the call table sees it.
 class CallerLink {
    public:
+    struct Use {
+        int open = 0;      // set-ups that are owed a final answer there
+        int standing = 0;  // calls that came on it
+    };
+    Use use;  // kept by the call table
+
     virtual void answer(const CallId& call, Description description) = 0;
     virtual void release(const CallId& call, Ending ending) = 0;
     virtual std::string_view origin() const = 0;  // the same for all connections of one caller
@@ -43,7 +49,7 @@
 class CallerEvents {
    public:
     virtual void offered(CallerLink& link, const Offer& offer) = 0;
-    virtual void released(const CallId& call) = 0;  // given up, or over
+    virtual void released(CallerLink& link, const CallId& call) = 0;  // given up, or over
     virtual bool ready() const = 0;
     virtual void caller_up(CallerLink& link) = 0;
     virtual void caller_gone(CallerLink& link) = 0;
--- a/src/protocol/switches.cpp
+++ b/src/protocol/switches.cpp
@@ -30,7 +30,10 @@
 }  // namespace
 
 bool SwitchSession::fed(std::size_t bytes) {
-    const bool well_formed = inbox_.fed(bytes, [this](const Message& message) { take(message); });
+    const bool well_formed = inbox_.fed(bytes, [this](const Message& message) {
+        take(message);
+        return true;
+    });
     if (!well_formed) ++counters_.malformed;
     return well_formed;
 }
--- a/tests/net/calls_test.cpp
+++ b/tests/net/calls_test.cpp
@@ -55,8 +55,11 @@
     static ListEvent all(std::initializer_list<std::pair<const char*, ExchangeState>> states,
                          ListKind kind = ListKind::remembered) {
         ListEvent event{.number = 1, .has_list = true, .kind = kind, .version = 1, .entries = {}};
-        for (const auto& [id, state] : states)
-            event.entries.push_back({{.exchange = id, .number = id[2] - '0', .state = state}, "127.0.0.1:1"});
+        for (const auto& [id, state] : states) {
+            ListedExchange& listed = event.entries.emplace_back();
+            listed.entry.exchange = id, listed.entry.number = id[2] - '0', listed.entry.state = state;
+            listed.address = "127.0.0.1:1";
+        }
         return event;
     }
     explicit World(std::size_t most_held = 1'000'000)
@@ -119,6 +122,11 @@
     o.call = "x", o.service_class = "unheard of", o.destination = 1, o.width = 1, o.patience = 1s;
     w.gatekeeper.offered(w.link, o);
     CHECK(w.heard("x") == Words{"failed"});
+    o.call = "wide", o.service_class = "move", o.width = 400;
+    w.gatekeeper.offered(w.link, o);
+    o.call = "nobody waits", o.width = 1, o.patience = 0s;
+    w.gatekeeper.offered(w.link, o);
+    CHECK(w.heard("wide") == Words{"failed"} && w.heard("nobody waits") == Words{"failed"});
     w.offer("far", 9);
     CHECK(w.heard("far") == Words{"refused"});
     World small(3);
@@ -127,11 +135,29 @@
     CHECK(small.heard("big") == Words{"refused"});
 }
 
+void a_set_up_belongs_to_its_connection() {
+    World w;
+    w.open();
+    Link stranger;
+    w.gatekeeper.caller_up(stranger);
+    w.offer("a");
+    Offer o;
+    o.call = "a", o.service_class = "move", o.destination = 1, o.width = 1, o.patience = 1s;
+    w.gatekeeper.offered(stranger, o);  // the id of an open set-up
+    CHECK(stranger.heard["a"] == Words{"failed"} && w.heard("a").empty());
+    w.gatekeeper.released(stranger, "a");
+    CHECK(w.given_up.empty() && w.link.use.open == 1);
+    w.gatekeeper.stands("s-1", "a", "d");
+    CHECK(w.heard("a") == Words{"answer d"} && w.link.use.open == 0 && w.link.use.standing == 1);
+    w.gatekeeper.released(stranger, "a");  // a call that stands belongs to none
+    CHECK(w.released.size() == 1 && w.link.use.standing == 0);
+}
+
 void an_answer_that_crosses_a_give_up_is_released() {
     World w;
     w.open();
     w.offer("a");
-    w.gatekeeper.released("a");
+    w.gatekeeper.released(w.link, "a");
     CHECK(w.given_up.size() == 1);
     w.gatekeeper.stands("s-1", "a", "late");
     CHECK(w.released.size() == 1 && w.heard("a").empty());
@@ -199,7 +225,7 @@
     w.gatekeeper.caller_up(stranger);
     w.gatekeeper.ended("s-1", "b", Outcome::reset, Cause::none, {});
     CHECK(other.heard["b"] == Words{"cut"} && stranger.heard.empty());
-    w.gatekeeper.released("c");
+    w.gatekeeper.released(other, "c");
     CHECK(w.released.size() == 1 && other.heard.count("c") == 0);
 }
 
@@ -270,7 +296,7 @@
                 }
                 case 5:
                     if (!w.link.heard.count(any)) abandoned.insert(any);
-                    w.gatekeeper.released(any);
+                    w.gatekeeper.released(w.link, any);
                     break;
                 case 6:
                     for (auto o = out.begin(); o != out.end();)
@@ -305,6 +331,7 @@
 int main() {
     a_call_stands_and_ends_once();
     what_cannot_be_served_is_answered_at_once();
+    a_set_up_belongs_to_its_connection();
     an_answer_that_crosses_a_give_up_is_released();
     after_a_reset_the_release_is_awaited();
     nothing_new_goes_to_what_drains_or_has_gone();
--- a/tests/net/codec_test.cpp
+++ b/tests/net/codec_test.cpp
@@ -43,7 +43,7 @@
                        (o.transit ? "t" : "") + (o.again ? "a" : "") + (o.redial ? "r" : "") + ' ' +
                        std::string(o.description));
     }
-    void released(const CallId& call) override { told.push_back("released " + call); }
+    void released(CallerLink&, const CallId& call) override { told.push_back("released " + call); }
     bool ready() const override { return in; }
     void caller_up(CallerLink&) override {}
     void caller_gone(CallerLink&) override {}
@@ -166,6 +166,39 @@
     }
 }
 
+// An announced length is judged before there is room for it, and the room is given back.
+void memory_is_taken_for_a_message_only_while_it_comes() {
+    Counters counters;
+    Notes notes;
+    CallerSession session(notes, notes, counters);
+    const std::size_t at_rest = session.space().size();
+    CHECK(at_rest <= 4096);
+    const std::string longest = set_up(kCall, std::string(16'000, 'd'));
+    CHECK(feed(session, longest.substr(0, 5)));
+    CHECK(session.within_message() && session.space().size() >= longest.size() - 5);
+    CHECK(feed(session, longest.substr(5)));
+    CHECK(!session.within_message() && session.whole_messages() == 1 && session.space().size() == at_rest);
+
+    FeedSession list(
+        0, [](const ListEvent&) {}, 1000);
+    CHECK(feed(list, std::string(900, ' ') + "1\n"));
+    CHECK(!feed(list, std::string(20'000, ' ')));
+}
+
+// A set-up that carrier switches could not read closes its own connection here, not one of theirs.
+void what_no_switch_can_read_is_malformed() {
+    const auto too_long = [] {  // it fits as it came, but not with a patience of its full length
+        const std::string rest = set_up(kCall, "");
+        return set_up(kCall, std::string(kLongestMessage - rest.size(), 'd'));
+    };
+    for (const std::string& text : {set_up("0000000000000000", "sdp"), too_long()}) {
+        Counters counters;
+        Notes notes;
+        CallerSession session(notes, notes, counters);
+        CHECK(!feed(session, text) && notes.told.empty() && counters.malformed == 1);
+    }
+}
+
 void garbage_harms_nothing() {
     for (std::uint64_t seed = 1; seed <= 2000; ++seed) {
         Dice dice{seed * 7919};
@@ -222,6 +255,8 @@
     switches_say_what_the_protocol_means();
     messages_are_written_as_the_protocol_says();
     malformed_bytes_are_told();
+    memory_is_taken_for_a_message_only_while_it_comes();
+    what_no_switch_can_read_is_malformed();
     garbage_harms_nothing();
     the_feed_is_followed_and_resumed();
 }
--- a/tests/net/program_test.cpp
+++ b/tests/net/program_test.cpp
@@ -232,7 +232,8 @@
     return R"({"name":"n","listen":")" + own_address() + ':' + std::to_string(port) + R"(","feed":")" +
            feed.address() + R"(","seed":"5","known":{"n":1,"events":[)" +
            event(1, true, server(1, at_switch.address())) +
-           R"(]},"settings":{"self_index":0,"fleet_size":3,"family_info":{"this_node":0,"release_s":0.3},)"
+           R"(]},"limits":{"sockets":40},"settings":{"self_index":0,"fleet_size":3,)"
+           R"("family_info":{"this_node":0,"release_s":0.3},)"
            R"("grades":[{"name":"move","aim_s":20,"deadline_s":90}],"limits":{"send_cap":5,"open_cap":100,)"
            R"("dial_timeout_s":)" +
            connect_time_out + R"(},"obligations":{"drain_grace_s":0.5,"grace_to_answer_s":0.02}}})";
@@ -292,6 +293,34 @@
     program.await_log(" reloads=1 reloads_refused=2 ");
 }
 
+// Connections that are held for nothing cost no ordinary caller a place: neither by their number nor for
+// good.
+void idle_connections_make_room(const char* path) {
+    Listener at, feed_at;
+    const int port = Listener().port();
+    Program program(path, config(port, feed_at, at, "10"));  // 40 descriptors: 20 callers
+    Peer at_switch = at.accept();
+    at_switch.say(group("x0:9;x1:9"));
+    Peer caller = Peer::connect(port);
+    while (test(caller).cause != 1) usleep(5000);
+    const CallId one = "0000000000000001";
+    caller.say(set_up(one, 1, 20'000));
+    CHECK(at_switch.hear().call == one);
+
+    std::vector<Peer> silent;
+    for (int i = 0; i < 60; ++i) silent.push_back(Peer::connect(port));
+    Peer second = Peer::connect(port);
+    CHECK(test(second).cause == 1);
+    silent.back().say(set_up(one, 1, 20'000).substr(0, 20));  // and half a message
+    for (Peer& peer : silent) CHECK(peer.closed_by_far_end());
+    // The one with an open set-up and the one that once asked stay.
+    CHECK(test(second).cause == 1);
+    at_switch.say(answer(one));
+    CHECK(caller.hear().call == one);
+    program.signal(SIGUSR1);
+    program.await_log(" client_connections_turned_away=0 ");
+}
+
 void it_serves(const char* path) {
     Listener first, second, feed_at;
     const int port = Listener().port();  // free again, at an address that nobody else uses
@@ -389,5 +418,6 @@
     bad_config_is_told_and_ends_it(arguments[1]);
     a_silent_switch_is_dialled_anew(arguments[1]);
     it_takes_a_new_configuration(arguments[1]);
+    idle_connections_make_room(arguments[1]);
     it_serves(arguments[1]);
 }
