Close a switch's connection on which an answer stopped short, and follow set-ups by connection

A log of every message and refusal (a probe, not kept) showed one carrier switch's connection go quiet within a message at 3.68 s, while the others went on; every set-up to it then waited 1.04 s for its time-out, the module took the exchange for silent and held 150 calls back until 5.7 s, when Peer::keep_up dialled anew after four connect time-outs. Ruled out: windows or circuits that leak when callers leave (both went back to their full size), and the load.

Now, in src/net/servers.cpp: a message that has begun and stops for half a connect time-out closes its connection. A set-up with nothing heard after it for one connect time-out brings a further connection. A set-up is given up on the connection that it went out on, and reset when that one ends, not when another does; until now the end of either connection reset all, also those still out on the other. What was out on a lost connection is released on the next, should its answer have been lost on the way. An answer without a description and a type of message that does not exist are malformed.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -1,5 +1,6 @@
 #include "config/config.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <cstdlib>
 #include <fstream>
@@ -16,6 +17,11 @@
 constexpr int kDefaultSockets = 1024;
 constexpr int kFewestSockets = 32;
 
+// Who orders a restart waits for the longest deadline, up to a limit, and a little more; then it kills.
+constexpr Duration kLongestWait = std::chrono::seconds(3);
+constexpr Duration kWaitsOn = std::chrono::milliseconds(700);
+constexpr Duration kBeforeTheKill = std::chrono::milliseconds(250);
+
 std::uint64_t read_seed(const std::string& text) {
     std::uint64_t seed = 0;
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), seed, 16);
@@ -81,6 +87,12 @@
     return c;
 }
 
+Duration Config::time_to_end() const {
+    Duration longest{};
+    for (const ClassSettings& c : settings.classes) longest = std::max(longest, c.deadline);
+    return std::min(longest, kLongestWait) + kWaitsOn - kBeforeTheKill;
+}
+
 Config load() {
     const char* path = std::getenv("BALANCER_CONFIG");
     if (!path || !*path) bad("BALANCER_CONFIG is not set");
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -21,6 +21,9 @@
     NetSettings net;
     std::int64_t known = 0;  // the number of the last event
     std::vector<ListEvent> events;
+
+    // After the order to end, until all that is owed must have been answered.
+    Duration time_to_end() const;
 };
 
 // From the environment (BALANCER_CONFIG names the file; BALANCER_NAME and BALANCER_LISTEN win over it).
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -18,7 +18,7 @@
 
 constexpr std::size_t kSpareSockets = 96;  // for the carrier switches, the feed and the process's own files
 constexpr Duration kServeOn = 800ms;       // after SIGTERM: callers go on for up to 0.6 s
-constexpr Duration kLongestStop = 3600ms;  // after SIGTERM, until all that is open is refused
+constexpr Duration kLastWrites = 100ms;    // for what is refused at the end of that time
 constexpr Duration kStopTick = 20ms;
 constexpr int kNotes = 100;  // lines of the module that are logged
 
@@ -48,6 +48,7 @@
    public:
     Program(asio::io_context& io, const config::Config& config)
         : listen_(config.listen),
+          time_to_end_(config.time_to_end()),
           servers_(io, config.net.connect_time_out, counters_),
           gatekeeper_(
               config.settings, config.seed, [this] { return clock_.now(); }, servers_, counters_,
@@ -131,6 +132,7 @@
                 json::bad(
                     "in 'settings': 'grades', 'layout' and 'this_node' must be the same until a restart");
             gatekeeper_.take(fresh.settings, most_held(fresh));
+            time_to_end_ = fresh.time_to_end();
             servers_.use_connect_time_out(fresh.net.connect_time_out);
             clients_.use_most(most_clients(fresh));
             feed_.use_longest_line(longest_line(fresh));
@@ -146,15 +148,15 @@
 
     // Goes on serving until callers have had the time to turn elsewhere and all that is owed is answered.
     asio::awaitable<void> stop() {
-        gatekeeper_.leave();
-        const Instant told = clock_.now();
+        const Instant told = clock_.now(), end = told + time_to_end_;
+        gatekeeper_.leave(end);
         for (;;) {
             stop_tick_.expires_after(kStopTick);
             co_await stop_tick_.async_wait(asio::use_awaitable);
-            const Duration passed = clock_.now() - told;
-            if (passed >= kLongestStop) gatekeeper_.refuse_all();
+            const Instant now = clock_.now();
+            if (now >= end) gatekeeper_.refuse_all();
             const bool done = gatekeeper_.unanswered() == 0 && clients_.idle() && servers_.idle();
-            if (passed >= kServeOn && (done || passed >= kLongestStop + kServeOn)) break;
+            if ((done && now >= told + kServeOn) || now >= end + kLastWrites) break;
         }
         clients_.stop();
         feed_.stop();
@@ -162,6 +164,7 @@
     }
 
     std::string listen_;
+    Duration time_to_end_;
     UnixClock clock_;
     Counters counters_;
     net::Servers servers_;
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <map>
 #include <tuple>
-#include <utility>
 
 namespace nettlestall::net {
 namespace {
@@ -29,32 +28,20 @@
     protocol::CallerSession& session() { return session_; }
     const CallerLink::Use& use() const { return session_.use; }
     bool idle() const { return connection_->idle(); }
-    Clock::time_point heard() const { return heard_; }
-
-    void hears(Clock::time_point now) {
-        if (!session_.within_message()) began_ = now;
-        look();
-        heard_ = now;
-    }
+    Clock::time_point heard() const { return half_.last_read(); }
+    void hears(Clock::time_point now) { half_.heard(session_, now); }
     // Ordinary callers may hold a connection without a call for as long as they like: only one that never
     // asked for anything, or that stopped within a message, takes a descriptor for nothing.
     bool overdue(Clock::time_point now) {
-        look();
-        return session_.within_message() ? now - began_ >= kRestOfMessage
-                                         : !session_.has_asked() && now - opened_ >= kFirstWord;
+        return half_.older_than(kRestOfMessage, session_, now) ||
+               (!session_.has_asked() && now - opened_ >= kFirstWord);
     }
 
    private:
-    // Where a read brought a message's end, what is begun now came with it.
-    void look() {
-        if (std::exchange(whole_, session_.whole_messages()) != session_.whole_messages()) began_ = heard_;
-    }
-
     std::shared_ptr<Connection> connection_;
     protocol::CallerSession session_;
-    Clock::time_point opened_ = Clock::now(), heard_ = opened_;
-    Clock::time_point began_ = opened_;  // the message that is still to come whole
-    std::uint64_t whole_ = 0;
+    HalfMessage half_;
+    Clock::time_point opened_ = Clock::now();
 };
 
 Clients::Clients(asio::io_context& io, const tcp::endpoint& listen, std::size_t most, CallerEvents& events,
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -62,6 +62,37 @@
     bool writing_ = false;
 };
 
+// Watches for a message that has begun on a connection and does not go on to its end.
+class HalfMessage {
+   public:
+    using Clock = std::chrono::steady_clock;
+
+    // With every read, before its bytes go to the session.
+    template <class Session>
+    void heard(const Session& session, Clock::time_point now) {
+        if (!session.within_message()) began_ = now;
+        look(session);
+        heard_ = now;
+    }
+    template <class Session>
+    bool older_than(Clock::duration age, const Session& session, Clock::time_point now) {
+        look(session);
+        return session.within_message() && now - began_ >= age;
+    }
+    Clock::time_point last_read() const { return heard_; }
+
+   private:
+    // Where a read brought a message's end, what is begun now came with it.
+    template <class Session>
+    void look(const Session& session) {
+        if (whole_ != session.whole_messages()) began_ = heard_;
+        whole_ = session.whole_messages();
+    }
+
+    Clock::time_point heard_ = Clock::now(), began_ = heard_;
+    std::uint64_t whole_ = 0;
+};
+
 // Starts a coroutine. What it throws ends the program with a message: a driver that stopped unnoticed would
 // leave its peer without answers.
 template <class Executor>
--- a/src/net/gatekeeper.cpp
+++ b/src/net/gatekeeper.cpp
@@ -203,7 +203,8 @@
     call.number = offer.number;
     call.description = std::make_shared<const std::string>(offer.description);
     held_ += offer.description.size();
-    call.answer_by = time_() + offer.patience;
+    const Duration patience = std::min(offer.patience, end_ - time_());
+    call.answer_by = time_() + patience;
     schedule(call.answer_by + kOverdueSlack, AnswerDue{offer.call});
 
     CallOffered event;
@@ -212,7 +213,7 @@
     event.width = offer.width;
     event.service_class = static_cast<int>(named - settings_.classes.begin());
     (offer.transit ? event.previous : event.advised) = offer.via;
-    event.patience = offer.patience;
+    event.patience = patience;
     event.transit = offer.transit;
     event.was_cut = offer.again;
     event.redial = offer.redial;
@@ -390,15 +391,6 @@
     tell(ExchangeReport{.exchange = exchange, .load = load});
 }
 
-void Gatekeeper::connection_lost(const ExchangeId& exchange) {
-    std::vector<CallId> open;
-    for (const auto& [id, call] : calls_)
-        if (call.phase == Phase::out && call.at == exchange) open.push_back(id);
-    for (const CallId& id : open)
-        if (const auto at = calls_.find(id); at != calls_.end() && at->second.phase == Phase::out)
-            end_attempt(at, Outcome::reset, Cause::none, {});
-}
-
 void Gatekeeper::process_dead(const ExchangeId& exchange) {
     cut_standing(exchange);
 }
--- a/src/net/gatekeeper.hpp
+++ b/src/net/gatekeeper.hpp
@@ -35,8 +35,8 @@
     bool can_take(const Settings& settings) const { return control_.can_take(settings); }
     void take(const Settings& settings, std::size_t most_held);
 
-    // From the front's tests on: nothing new is wanted.
-    void leave() { leaving_ = true; }
+    // From the front's tests on nothing new is wanted. What comes all the same is answered by `end`.
+    void leave(Instant end) { leaving_ = true, end_ = end; }
     std::size_t unanswered() const { return unanswered_; }
     std::size_t calls() const { return calls_.size(); }
     // Every call still without its final answer gets it now.
@@ -52,7 +52,6 @@
     void ended(const ExchangeId& at, const CallId& call, Outcome outcome, Cause cause,
                const LoadReport& load) override;
     void group_state(const ExchangeId& at, const LoadReport& load) override;
-    void connection_lost(const ExchangeId& at) override;
     void process_dead(const ExchangeId& at) override;
 
    private:
@@ -148,6 +147,7 @@
     bool telling_ = false;
     Instant started_{};
     bool leaving_ = false;
+    Instant end_ = Instant::max();
 };
 
 }  // namespace nettlestall::net
--- a/src/net/servers.cpp
+++ b/src/net/servers.cpp
@@ -9,17 +9,18 @@
 namespace {
 
 using Clock = std::chrono::steady_clock;
+using protocol::SwitchSession;
 
 constexpr Duration kFirstPause = std::chrono::milliseconds(50);  // until it is dialled again, doubling
-constexpr Duration kWatch = std::chrono::milliseconds(250);
+constexpr Duration kWatch = std::chrono::milliseconds(50);
 constexpr int kSilence = 4;  // connect time-outs, until a further connection is tried
-constexpr int kCutOff = 9;   // connect time-outs of dials that time out, until calls are cut
+constexpr int kCutOff = 13;  // connect time-outs without a word while dials time out, until calls are cut
 constexpr Duration kLeastPause = std::chrono::milliseconds(5);  // even where set-ups wait for it
 
 }  // namespace
 
 // One carrier switch. It outlives its place in the list while its coroutine runs, and is silent then.
-class Servers::Peer : public std::enable_shared_from_this<Peer> {
+class Servers::Peer final : public std::enable_shared_from_this<Peer>, public SwitchEvents {
    public:
     Peer(asio::io_context& io, ExchangeId id, std::string address, Duration connect_time_out,
          SwitchEvents& events, Counters& counters)
@@ -40,40 +41,79 @@
     void stop() {
         stopped_ = true;
         pause_.cancel();
-        if (connection_) connection_->close();
-        if (previous_) previous_->close();
-        lose(Outcome::unreachable);
+        for (const auto& connection : {connection_, previous_})
+            if (connection) connection->close();
+        lose_waiting(Outcome::unreachable);
+        lose_out(nullptr);
     }
 
     void set_up(const Forward& forward) {
         used_ = true;
-        if (connection_ && connection_->open())
-            return connection_->send(protocol::SwitchSession::set_up(forward));
-        waiting_.emplace_back(forward.call, protocol::SwitchSession::set_up(forward));
+        if (connection_ && connection_->open()) return put_out(forward.call, SwitchSession::set_up(forward));
+        waiting_.emplace_back(forward.call, SwitchSession::set_up(forward));
         pause_.cancel();  // dialled at once
     }
 
+    // On the connection of its set-up; where that is closed, it has been given up with it.
     void give_up(const CallId& call) {
-        const auto unsent = std::erase_if(waiting_, [&](const auto& w) { return w.first == call; });
-        if (unsent == 0) release(call);
+        std::erase_if(waiting_, [&](const auto& w) { return w.first == call; });
+        const auto at = out_.find(call);
+        if (at == out_.end()) return;
+        at->second->send(SwitchSession::release(call));
+        out_.erase(at);
     }
 
     // Without a connection it waits for the next: the call may stand there.
     void release(const CallId& call) {
-        if (connection_ && connection_->open())
-            return connection_->send(protocol::SwitchSession::release(call));
+        if (connection_ && connection_->open()) return connection_->send(SwitchSession::release(call));
         if (releases_.size() < kMostReleases) releases_.push_back(call);
     }
 
     // Set-ups that no connection came up for: they never ran.
-    void lose(Outcome outcome) {
+    void lose_waiting(Outcome outcome) {
         for (const auto& [call, frame] : std::exchange(waiting_, {}))
             events_.ended(id_, call, outcome, Cause::none, {});
     }
 
+    void stands(const ExchangeId& at, const CallId& call, std::string_view description) override {
+        out_.erase(call);
+        events_.stands(at, call, description);
+    }
+    void ended(const ExchangeId& at, const CallId& call, Outcome outcome, Cause cause,
+               const LoadReport& load) override {
+        out_.erase(call);
+        events_.ended(at, call, outcome, cause, load);
+    }
+    void group_state(const ExchangeId& at, const LoadReport& load) override { events_.group_state(at, load); }
+    void process_dead(const ExchangeId& at) override { events_.process_dead(at); }
+
    private:
+    struct Line {  // what comes on one connection
+        SwitchSession session;
+        HalfMessage half;
+    };
+
     static constexpr std::size_t kMostReleases = 4096;
 
+    void put_out(const CallId& call, protocol::Frame frame) {
+        if (!asked_) asked_ = Clock::now();
+        out_[call] = connection_;
+        connection_->send(std::move(frame));
+    }
+
+    // What is out on a connection that has gone, or on any, is given up with it. Should the call stand there,
+    // its answer lost on the way, it is released on the next connection: it would hold circuits for nobody.
+    void lose_out(const std::shared_ptr<Connection>& connection) {
+        std::vector<CallId> lost;
+        for (const auto& [call, on] : out_)
+            if (!connection || on == connection) lost.push_back(call);
+        for (const CallId& call : lost) {
+            out_.erase(call);
+            release(call);
+            events_.ended(id_, call, Outcome::reset, Cause::none, {});
+        }
+    }
+
     // Holds the peer: the list may have dropped it by the time that this starts.
     static asio::awaitable<void> run(std::shared_ptr<Peer> self) { co_await self->keep_up(); }
 
@@ -81,9 +121,9 @@
         const auto to = to_endpoint(address_);
         Duration pause = kFirstPause;
         bool had = false;  // a connection, since the process was last known to live
-        std::optional<Clock::time_point> unreachable;
         while (!stopped_) {
-            if (connection_ && (!used_ || Clock::now() - heard_ < kSilence * time_out_)) {
+            close_halted();
+            if (connection_ && !silent()) {
                 pause_.expires_after(kWatch);
                 co_await pause_.async_wait(asio::as_tuple(asio::use_awaitable));
                 continue;
@@ -94,19 +134,15 @@
             if (stopped_) co_return;
             if (!error) {
                 had = true;
-                unreachable.reset();
                 pause = kFirstPause;
                 adopt(std::move(socket));
             } else {
-                lose(Outcome::unreachable);
+                lose_waiting(Outcome::unreachable);
                 // Refused after it was there: no process listens, so the one that held the calls is gone.
                 bool dead = error == asio::error::connection_refused;
                 // Guards against calls that stand for ever over a cut link: nothing can tell that they were
                 // dropped. Neither an old connection nor a new one speaks for so long that they must be.
-                if (error == asio::error::timed_out) {
-                    if (!unreachable) unreachable = Clock::now();
-                    dead = Clock::now() - *unreachable >= kCutOff * time_out_;
-                }
+                if (error == asio::error::timed_out) dead = Clock::now() - heard_ >= kCutOff * time_out_;
                 if (dead && std::exchange(had, false)) events_.process_dead(id_);
             }
             // Also after a connection that came up: guards against a far end that closes each at once.
@@ -116,6 +152,22 @@
         }
     }
 
+    // Nothing at all has come since the first of those set-ups that may still have an answer, or for long. A
+    // further connection finds out whether it is the connection or the machine that says nothing.
+    bool silent() const {
+        const auto now = Clock::now();
+        return (asked_ && now - *asked_ >= time_out_) || (used_ && now - heard_ >= kSilence * time_out_);
+    }
+
+    // Guards against a connection on which a message has stopped short: whatever is set up there would wait
+    // for an answer behind one that never ends. May harm where a lost packet is all that is missing: what is
+    // out there comes again on the next connection.
+    void close_halted() {
+        const auto now = Clock::now();
+        for (const auto& [connection, line] : lines_)
+            if (line->half.older_than(time_out_ / 2, line->session, now)) connection->close();
+    }
+
     // The new connection serves from now on. One that fell silent is read on until the next takes its place:
     // what is set up on it may still be answered there.
     void adopt(tcp::socket socket) {
@@ -123,24 +175,32 @@
         if (previous_) previous_->close();
         previous_ = std::exchange(connection_, std::make_shared<Connection>(std::move(socket), counters_));
         heard_ = Clock::now();
+        asked_.reset();
         for (const CallId& call : std::exchange(releases_, {}))
-            connection_->send(protocol::SwitchSession::release(call));
-        for (auto& [call, frame] : std::exchange(waiting_, {})) connection_->send(std::move(frame));
+            connection_->send(SwitchSession::release(call));
+        for (auto& [call, frame] : std::exchange(waiting_, {})) put_out(call, std::move(frame));
         spawn(io_, converse(shared_from_this(), connection_));
     }
 
     static asio::awaitable<void> converse(std::shared_ptr<Peer> self,
                                           std::shared_ptr<Connection> connection) {
-        protocol::SwitchSession session(self->id_, self->events_, self->counters_);
-        co_await connection->read_into(session, [&self] { self->heard_ = Clock::now(); });
+        Line line{SwitchSession(self->id_, *self, self->counters_), {}};
+        self->lines_[connection] = &line;
+        co_await connection->read_into(line.session, [&] {
+            self->heard_ = Clock::now();
+            self->asked_.reset();
+            line.half.heard(line.session, self->heard_);
+        });
+        self->lines_.erase(connection);
         connection->close();
         if (self->stopped_) co_return;
         ++self->counters_.switch_connections_lost;
         if (connection == self->previous_) self->previous_ = nullptr;
-        if (connection != self->connection_) co_return;
-        self->connection_ = nullptr;
-        self->pause_.cancel();
-        self->events_.connection_lost(self->id_);
+        if (connection == self->connection_) {
+            self->connection_ = nullptr;
+            self->pause_.cancel();
+        }
+        self->lose_out(connection);
     }
 
     asio::io_context& io_;
@@ -151,8 +211,11 @@
     SwitchEvents& events_;
     Counters& counters_;
     std::shared_ptr<Connection> connection_, previous_;
-    Clock::time_point heard_{};  // the last that came on any connection
-    bool used_ = false;          // something was set up there, so that its silence means something
+    std::map<std::shared_ptr<Connection>, Line*> lines_;  // owned by the coroutines that read them
+    std::optional<Clock::time_point> asked_;              // the first set-up since anything came
+    Clock::time_point heard_{};                           // the last that came on any connection
+    std::map<CallId, std::shared_ptr<Connection>> out_;   // set-ups without an end, and where they went
+    bool used_ = false;  // something was set up there, so that its silence means something
     std::vector<std::pair<CallId, protocol::Frame>> waiting_;  // set-ups for the next connection
     std::vector<CallId> releases_;
     bool stopped_ = false;
@@ -175,7 +238,7 @@
         if (at != peers_.end() && at->second->address() == address) {
             // Guards against a set-up that waits for a connection and is written long after the drain was
             // told.
-            if (entry.state == ExchangeState::draining) at->second->lose(Outcome::not_sent);
+            if (entry.state == ExchangeState::draining) at->second->lose_waiting(Outcome::not_sent);
             continue;
         }
         drop(entry.exchange);
@@ -202,7 +265,6 @@
     const auto peer = at->second;
     peers_.erase(at);
     peer->stop();
-    events_->connection_lost(id);
 }
 
 void Servers::stop() {
--- a/src/protocol/callers.cpp
+++ b/src/protocol/callers.cpp
@@ -52,9 +52,12 @@
             ++counters_.tests;
             out_.send(FrameBuilder(Type::test_result, message.call()).cause(events_.ready()).done());
             return true;
-        default:
+        case Type::progress:
+        case Type::release_heard:
             ++counters_.ignored;
             return true;
+        default:  // noise, or an endless stream of what means nothing here
+            return false;
     }
 }
 
--- a/src/protocol/signals.hpp
+++ b/src/protocol/signals.hpp
@@ -84,8 +84,7 @@
     virtual void ended(const ExchangeId& at, const CallId& call, Outcome outcome, Cause cause,
                        const LoadReport& load) = 0;
     virtual void group_state(const ExchangeId& at, const LoadReport& load) = 0;
-    virtual void connection_lost(const ExchangeId& at) = 0;  // what is set up on it is given up
-    virtual void process_dead(const ExchangeId& at) = 0;     // its standing calls are cut
+    virtual void process_dead(const ExchangeId& at) = 0;  // its standing calls are cut
 
    protected:
     ~SwitchEvents() = default;
--- a/src/protocol/switches.cpp
+++ b/src/protocol/switches.cpp
@@ -30,25 +30,32 @@
 }  // namespace
 
 bool SwitchSession::fed(std::size_t bytes) {
-    const bool well_formed = inbox_.fed(bytes, [this](const Message& message) {
-        take(message);
-        return true;
-    });
+    const bool well_formed = inbox_.fed(bytes, [this](const Message& message) { return take(message); });
     if (!well_formed) ++counters_.malformed;
     return well_formed;
 }
 
-void SwitchSession::take(const Message& message) {
+bool SwitchSession::take(const Message& message) {
     switch (message.type) {
         case Type::answer:
-            return events_.stands(at_, message.call(), message.text(Code::description));
+            // Without a description it is spoilt: a caller is told only what a carrier switch made for it.
+            if (!message.find(Code::description)) return false;
+            events_.stands(at_, message.call(), message.text(Code::description));
+            return true;
         case Type::release:
-            return events_.ended(at_, message.call(), outcome_of(message.cause()),
-                                 cause_of(message.text(Code::note)), read_report(message.text(Code::report)));
+            events_.ended(at_, message.call(), outcome_of(message.cause()),
+                          cause_of(message.text(Code::note)), read_report(message.text(Code::report)));
+            return true;
         case Type::group_state:
-            return events_.group_state(at_, read_report(message.text(Code::report)));
-        default:
+            events_.group_state(at_, read_report(message.text(Code::report)));
+            return true;
+        case Type::progress:
+        case Type::release_heard:
+        case Type::test_result:
             ++counters_.ignored;
+            return true;
+        default:  // noise that happens to have a length: what follows it can't be trusted either
+            return false;
     }
 }
 
--- a/src/protocol/switches.hpp
+++ b/src/protocol/switches.hpp
@@ -17,11 +17,14 @@
     // Takes what was read into space(). False: malformed, the connection is to be closed.
     bool fed(std::size_t bytes);
 
+    bool within_message() const { return inbox_.within_message(); }
+    std::uint64_t whole_messages() const { return inbox_.whole_messages(); }
+
     static Frame set_up(const Forward& forward);
     static Frame release(const CallId& call);  // before the answer it gives the set-up up
 
    private:
-    void take(const Message& message);
+    bool take(const Message& message);  // false: malformed
 
     ExchangeId at_;
     SwitchEvents& events_;
--- a/tests/net/calls_test.cpp
+++ b/tests/net/calls_test.cpp
@@ -176,7 +176,7 @@
     w.open();
     w.offer("a");
     const Instant lost = w.now;
-    w.gatekeeper.connection_lost("s-1");
+    w.gatekeeper.ended("s-1", "a", Outcome::reset, Cause::none, {});
     while (w.sent.size() < 2 && w.now < lost + 2s) w.pass(1ms);
     CHECK(w.sent.size() == 2 && w.now >= lost + 300ms);
 }
@@ -241,10 +241,12 @@
     World w;
     w.pass(2s);
     CHECK(w.gatekeeper.ready());  // a silent switch does not keep the front away for ever
-    w.gatekeeper.leave();
+    w.gatekeeper.leave(w.now + 1s);
     CHECK(!w.gatekeeper.ready());
     w.open();
     w.offer("a");
+    // Nobody is there to answer after the end: what is tried until then must be over by it.
+    CHECK(w.sent.size() == 1 && w.sent[0].wait <= 1s);
     w.gatekeeper.refuse_all();
     CHECK(w.heard("a") == Words{"refused"} && w.gatekeeper.unanswered() == 0);
 }
@@ -299,9 +301,12 @@
                     w.gatekeeper.released(w.link, any);
                     break;
                 case 6:
-                    for (auto o = out.begin(); o != out.end();)
-                        o = o->second == at ? (not_before[o->first] = w.now + 300ms, out.erase(o)) : next(o);
-                    w.gatekeeper.connection_lost(at);
+                    for (const auto& [id, where] : std::map(out))  // a connection breaks
+                        if (where == at) {
+                            out.erase(id), not_before[id] = w.now + 300ms;
+                            w.gatekeeper.ended(at, id, Outcome::reset, Cause::none, {});
+                            follow();
+                        }
                     break;
                 case 7:
                     w.circuits(at, static_cast<int>(dice.below(21)));
--- a/tests/net/codec_test.cpp
+++ b/tests/net/codec_test.cpp
@@ -57,7 +57,6 @@
     void group_state(const ExchangeId&, const LoadReport& l) override {
         told.push_back("group " + std::to_string(l.free_circuits) + '/' + std::to_string(l.group_size));
     }
-    void connection_lost(const ExchangeId&) override {}
     void process_dead(const ExchangeId&) override {}
     void send(Frame frame) override { written += bytes(frame); }
 };
@@ -157,6 +156,14 @@
         std::string("\x3f\xff", 2),                                            // longer than any message
         std::string("\x00\x0b\x01", 3) + std::string("12345678\x10\x00", 10),  // half a parameter's head
         std::string("\x00\x0d\x01", 3) + "12345678" + std::string("\x10\x00\x05x", 4)};  // past the message
+    const std::string without_description = bytes(FrameBuilder(Type::answer, kCall).done());
+    const std::string unheard_of = bytes(FrameBuilder(static_cast<Type>(99), kCall).done());
+    for (const std::string& text : {without_description, unheard_of}) {
+        Counters counters;
+        Notes notes;
+        SwitchSession session("s-1", notes, counters);
+        CHECK(!feed(session, text) && counters.malformed == 1 && notes.told.empty());
+    }
     for (const std::string& text : bad) {
         Counters counters;
         Notes notes;
--- a/tests/net/config_test.cpp
+++ b/tests/net/config_test.cpp
@@ -80,6 +80,17 @@
     CHECK(said.find("BALANCER_CONFIG") == 0);
 }
 
+// Before the kill, which comes 0.7 s after the longest deadline, or after 3.7 s where that is sooner.
+void the_end_comes_before_the_kill() {
+    using std::chrono::milliseconds;
+    config::Config c;
+    c.settings.classes.resize(2);
+    c.settings.classes[1].deadline = milliseconds(1200);
+    CHECK(c.time_to_end() < milliseconds(1900) && c.time_to_end() > milliseconds(1500));
+    c.settings.classes[0].deadline = milliseconds(9000);
+    CHECK(c.time_to_end() < milliseconds(3700) && c.time_to_end() > milliseconds(3300));
+}
+
 }  // namespace
 
 int main() {
@@ -87,4 +98,5 @@
     what_is_missing_has_its_default();
     a_complaint_names_the_key();
     the_environment_names_the_file();
+    the_end_comes_before_the_kill();
 }
--- a/tests/net/program_test.cpp
+++ b/tests/net/program_test.cpp
@@ -321,6 +321,31 @@
     program.await_log(" client_connections_turned_away=0 ");
 }
 
+// An answer stops short and the connection stays open: what is out there would wait behind it for ever.
+void a_halted_connection_is_closed(const char* path) {
+    Listener at, feed_at;
+    const int port = Listener().port();
+    Program program(path, config(port, feed_at, at, "1"));
+    Peer at_switch = at.accept();
+    at_switch.say(group("x0:9;x1:9"));
+    Peer caller = Peer::connect(port);
+    while (test(caller).cause != 1) usleep(5000);
+    const CallId one = "0000000000000001";
+    caller.say(set_up(one, 1, 20'000));
+    CHECK(at_switch.hear().call == one);
+    const Frame whole = answer(one);
+    at_switch.say(whole.head.substr(0, 9));
+    Peer again = at.accept();
+    again.say(group("x0:9;x1:9"));
+    CHECK(at_switch.closed_by_far_end());
+    Heard heard = again.hear();  // should its answer have been lost, it stands for nobody
+    CHECK(heard.type == Type::release && heard.call == one);
+    heard = again.hear();
+    CHECK(heard.type == Type::set_up && heard.call == one);
+    again.say(whole);
+    CHECK(caller.hear().type == Type::answer);
+}
+
 void it_serves(const char* path) {
     Listener first, second, feed_at;
     const int port = Listener().port();  // free again, at an address that nobody else uses
@@ -377,6 +402,7 @@
     at_second.hang_up();
     at_second = second.accept();
     at_second.say(group("x0:9;x1:9"));
+    CHECK(at_second.hear().type == Type::release);
     CHECK(at_second.hear().call == six);
     at_second.say(answer(six));
     CHECK(caller.hear().type == Type::answer);
@@ -419,5 +445,6 @@
     a_silent_switch_is_dialled_anew(arguments[1]);
     it_takes_a_new_configuration(arguments[1]);
     idle_connections_make_room(arguments[1]);
+    a_halted_connection_is_closed(arguments[1]);
     it_serves(arguments[1]);
 }
