Free the test of a new configuration from a race, and end its program when a check fails

Seen: tests/run failed once in tests/net/program_test.cpp:103 and then hung for ctest's 240 s; with twelve copies side by side the same check failed often. it_takes_a_new_configuration offers a call while the third switch's group may not be known yet; the call then rightly takes the first as its tandem.

--- a/tests/net/program_test.cpp
+++ b/tests/net/program_test.cpp
@@ -2,6 +2,7 @@
 // Waits for what must come and never for a span of time, so that a busy machine only makes it slower.
 #include <arpa/inet.h>
 #include <fcntl.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -150,6 +151,7 @@
         pid_ = fork();
         CHECK(pid_ >= 0);
         if (pid_ == 0) {
+            prctl(PR_SET_PDEATHSIG, SIGKILL);  // a check that fails must not leave it running
             setenv("BALANCER_CONFIG", (stem_ + ".json").c_str(), 1);
             unsetenv("BALANCER_LISTEN");
             dup2(open((stem_ + ".log").c_str(), O_CREAT | O_TRUNC | O_WRONLY, 0600), 2);
@@ -284,6 +286,7 @@
     CHECK(feed.closed_by_far_end());
     moved.say(event(3, false, server(3, third.address())) + "\n");
     Peer at_third = third.accept();
+    at_switch.say(group("x0:0;x1:9"));  // else it could be the tandem, until the other group is known
     at_switch.say(answer(one));
     CHECK(caller.hear().description == "media\r\n of " + one);
     at_third.say(group("x0:9;x1:9"));
