End each call's timers with the call, and test that all tables shrink back

Gatekeeper::refuse_all answered without telling the module, whose calls then stayed (17 in the test). Ruled out by the same test: exchanges, numbers, redials and tandems that turned calls back; they shrink with the next event.

Now each timer belongs to its call and ends with it, and refuse_all ends calls like any other end. Test: tables_shrink_back, 1,800 calls over 60 replaced exchanges; with timers that stay it fails.

--- a/include/nettlestall/call_control.hpp
+++ b/include/nettlestall/call_control.hpp
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -237,6 +238,9 @@
     bool can_take(const Settings& settings) const;
     void take(Settings settings);
 
+    // In all tables that grow with calls and exchanges; for tests.
+    std::size_t entries() const;
+
    private:
     class Impl;
     std::unique_ptr<Impl> impl_;
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -266,6 +266,11 @@
                           [](const auto& a, const auto& b) { return a.name == b.name; });
     }
 
+    std::size_t entries() const {
+        return exchanges_.size() + calls_.size() + lost_.size() + waiting_.size() + out_.size() +
+               numbers_.size() + refused_.size() + turned_back_.size();
+    }
+
     void take(Settings settings) {
         s_ = std::move(settings);
         shortest_aim_ = s_.classes.empty() ? 1.0 : 1e9;
@@ -957,6 +962,9 @@
 bool CallControl::can_take(const Settings& settings) const {
     return impl_->can_take(settings);
 }
+std::size_t CallControl::entries() const {
+    return impl_->entries();
+}
 void CallControl::take(Settings settings) {
     impl_->take(std::move(settings));
 }
--- a/src/net/gatekeeper.cpp
+++ b/src/net/gatekeeper.cpp
@@ -48,10 +48,22 @@
     telling_ = false;
 }
 
-void Gatekeeper::schedule(Instant at, Due due) {
+Gatekeeper::Timers::iterator Gatekeeper::schedule(Instant at, Due due) {
     const bool first = due_.empty() || at < due_.begin()->first;
-    due_.emplace(at, std::move(due));
+    const auto entry = due_.emplace(at, std::move(due));
     if (first && earlier_) earlier_(at);
+    return entry;
+}
+
+// Guards against callers who claim to wait for an hour: a timer would stay that long after its call has
+// ended.
+void Gatekeeper::unschedule(std::optional<Timers::iterator>& timer) {
+    if (timer) due_.erase(*timer);
+    timer.reset();
+}
+
+std::size_t Gatekeeper::entries() const {
+    return calls_.size() + exchanges_.size() + due_.size() + owed_.size() + control_.entries();
 }
 
 void Gatekeeper::run_due() {
@@ -70,6 +82,7 @@
 void Gatekeeper::due(const AttemptTimeOut& timer) {
     const auto at = calls_.find(timer.call);
     if (at == calls_.end() || at->second.phase != Phase::out || at->second.attempts != timer.attempt) return;
+    at->second.time_out.reset();
     ++counters_.timed_out;
     switches_.give_up(at->second.at, at->first);
     end_attempt(at, Outcome::timed_out, Cause::none, {});
@@ -80,6 +93,7 @@
 void Gatekeeper::due(const AnswerDue& timer) {
     const auto at = calls_.find(timer.call);
     if (at == calls_.end() || at->second.phase == Phase::standing) return;
+    at->second.answer_due.reset();
     ++counters_.overdue;
     CallerLink* const link = at->second.link;
     abandon(at);
@@ -120,7 +134,7 @@
     call.sent = now;
     ++call.attempts;
     ++counters_.attempts;
-    schedule(now + wait, AttemptTimeOut{action.call, call.attempts});
+    call.time_out = schedule(now + wait, AttemptTimeOut{action.call, call.attempts});
     switches_.set_up(call.at, {action.call, call.service_class, call.number, call.description, wait});
 }
 
@@ -164,6 +178,8 @@
 
 // The call has its final answer, or is owed none.
 void Gatekeeper::settle_answer(Call& call) {
+    unschedule(call.answer_due);
+    unschedule(call.time_out);
     if (call.link) --call.link->use.open;
     --unanswered_;
     held_ -= call.description->size();
@@ -205,7 +221,7 @@
     held_ += offer.description.size();
     const Duration patience = std::min(offer.patience, end_ - time_());
     call.answer_by = time_() + patience;
-    schedule(call.answer_by + kOverdueSlack, AnswerDue{offer.call});
+    call.answer_due = schedule(call.answer_by + kOverdueSlack, AnswerDue{offer.call});
 
     CallOffered event;
     event.call = offer.call;
@@ -311,8 +327,12 @@
     for (const auto& [id, call] : calls_)
         if (call.phase != Phase::standing) open.push_back(id);
     for (const CallId& id : open) {
+        const auto at = calls_.find(id);
+        if (at == calls_.end()) continue;
         ++counters_.refused;
-        final_answer(id, Ending::refused);
+        CallerLink* const link = at->second.link;
+        abandon(at);  // the module hears of it too
+        if (link) link->release(id, Ending::refused);
     }
 }
 
@@ -350,6 +370,7 @@
 void Gatekeeper::end_attempt(Calls::iterator at, Outcome outcome, Cause cause, const LoadReport& load) {
     Call& call = at->second;
     call.phase = Phase::waiting;
+    unschedule(call.time_out);
     const Instant now = time_();
     if (outcome == Outcome::timed_out || outcome == Outcome::reset || outcome == Outcome::cancelled)
         call.not_before = now + settings_.release_wait;
--- a/src/net/gatekeeper.hpp
+++ b/src/net/gatekeeper.hpp
@@ -6,6 +6,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <variant>
@@ -39,6 +40,8 @@
     void leave(Instant end) { leaving_ = true, end_ = end; }
     std::size_t unanswered() const { return unanswered_; }
     std::size_t calls() const { return calls_.size(); }
+    // In all tables, the module's too: each is bounded by the calls and exchanges in hand.
+    std::size_t entries() const;
     // Every call still without its final answer gets it now.
     void refuse_all();
 
@@ -56,6 +59,20 @@
 
    private:
     enum class Phase { waiting, out, standing };
+
+    struct ModuleTimer {
+        std::int64_t token;
+    };
+    struct AttemptTimeOut {
+        CallId call;
+        int attempt;
+    };
+    struct AnswerDue {
+        CallId call;
+    };
+    using Due = std::variant<ModuleTimer, AttemptTimeOut, AnswerDue>;
+    using Timers = std::multimap<Instant, Due>;
+
     struct Call {
         CallerLink* link = nullptr;  // the connection that it came on, while that is open
         std::string origin;          // of that connection
@@ -69,6 +86,7 @@
         Instant sent{};
         Instant not_before{};
         Instant answer_by{};
+        std::optional<Timers::iterator> answer_due, time_out;  // gone with what they guard
     };
     using Calls = std::map<CallId, Call>;
 
@@ -79,22 +97,11 @@
         bool group_known = false;
     };
 
-    struct ModuleTimer {
-        std::int64_t token;
-    };
-    struct AttemptTimeOut {
-        CallId call;
-        int attempt;
-    };
-    struct AnswerDue {
-        CallId call;
-    };
-    using Due = std::variant<ModuleTimer, AttemptTimeOut, AnswerDue>;
-
     // Tells the module, carries out what it says, and goes on with what comes of that.
     void tell(Event event);
     void later(Event event) { events_.push_back(std::move(event)); }
-    void schedule(Instant at, Due due);
+    Timers::iterator schedule(Instant at, Due due);
+    void unschedule(std::optional<Timers::iterator>& timer);
     void due(const ModuleTimer& timer);
     void due(const AttemptTimeOut& timer);
     void due(const AnswerDue& timer);
@@ -141,7 +148,7 @@
         Ending ending;
     };
     std::vector<Owed> owed_;  // releases for which no caller's connection was open
-    std::multimap<Instant, Due> due_;
+    Timers due_;
     std::deque<Event> events_;
     std::vector<Action> actions_;
     bool telling_ = false;
--- a/tests/net/calls_test.cpp
+++ b/tests/net/calls_test.cpp
@@ -251,6 +251,44 @@
     CHECK(w.heard("a") == Words{"refused"} && w.gatekeeper.unanswered() == 0);
 }
 
+// Exchanges are replaced all day and every call has a new id and number: nothing of them may stay.
+void tables_shrink_back() {
+    World w;
+    w.open();
+    w.pass(20s);
+    const std::size_t at_first = w.gatekeeper.entries();
+    for (int round = 0; round < 60; ++round) {
+        const ExchangeId id =
+            "s-1" + std::string(1, 'a' + static_cast<char>(round % 26)) + std::to_string(round);
+        ListEvent fresh = World::all({{"s-1", ExchangeState::ready}}, ListKind::changes);
+        fresh.entries[0].entry.exchange = id;
+        w.gatekeeper.list(fresh);
+        w.circuits(id, 20);
+        for (int i = 0; i < 30; ++i) {
+            const CallId call = std::to_string(round) + '/' + std::to_string(i);
+            w.offer(call, 1 + i % 2, 3600s);
+            if (i % 5 == 0) w.gatekeeper.released(w.link, call);
+            const ExchangeId at = w.sent.empty() ? id : w.sent.back().at;
+            if (i % 5 == 1) w.gatekeeper.ended(at, call, Outcome::turned_back, Cause::by_tandem, {});
+            if (i % 5 == 2) w.gatekeeper.ended(at, call, Outcome::failed, Cause::number_busy, {});
+            if (i % 5 >= 3) w.gatekeeper.stands(at, call, "d");
+            if (i % 5 == 3) w.gatekeeper.ended(at, call, Outcome::ended, Cause::none, {});
+        }
+        fresh.entries[0].entry.state = ExchangeState::gone;
+        w.gatekeeper.list(fresh);
+        w.pass(100ms);
+    }
+    w.gatekeeper.refuse_all();
+    Link other;
+    w.gatekeeper.caller_gone(w.link);
+    w.gatekeeper.caller_up(other);
+    for (const auto& sent : w.sent) w.gatekeeper.released(other, sent.call);
+    w.pass(20s);
+    w.circuits("s-2", 20);  // the module forgets with the next event
+    CHECK(w.gatekeeper.calls() == 0);
+    CHECK(w.gatekeeper.entries() <= at_first);
+}
+
 // Whatever happens in whatever order: one final answer, one attempt out, no resend before the release.
 void the_rules_hold_in_any_order() {
     for (std::uint64_t seed = 1; seed <= 60; ++seed) {
@@ -344,5 +382,6 @@
     a_standing_call_outlives_its_connection();
     a_call_in_transit_goes_to_its_destination_or_back();
     the_test_is_failed_while_leaving();
+    tables_shrink_back();
     the_rules_hold_in_any_order();
 }
