--- a/src/net/gatekeeper.cpp
+++ b/src/net/gatekeeper.cpp
@@ -363,8 +363,9 @@
         return group_state(exchange, load);  // late; its report is still news
     if (at->second.phase == Phase::standing)
         return end_standing(at, outcome == Outcome::ended ? Outcome::ended : Outcome::reset, load, true);
-    // A call that never stood cannot have come to its end.
-    end_attempt(at, outcome == Outcome::ended ? Outcome::failed : outcome, cause, load);
+    // The end of a call that has not stood here: its answer was lost on the way. Guards against an end taken
+    // for the exchange's answer: the length of the call would count as the time that it takes to answer.
+    end_attempt(at, outcome == Outcome::ended ? Outcome::reset : outcome, cause, load);
 }
 
 void Gatekeeper::end_attempt(Calls::iterator at, Outcome outcome, Cause cause, const LoadReport& load) {
--- a/tests/net/calls_test.cpp
+++ b/tests/net/calls_test.cpp
@@ -181,6 +181,34 @@
     CHECK(w.sent.size() == 2 && w.now >= lost + 300ms);
 }
 
+// The end of a call whose answer was lost says nothing of how soon the exchange answers.
+void an_end_without_an_answer_is_no_answer() {
+    World w;
+    w.open();
+    w.offer("lost");
+    w.pass(1900ms);
+    w.gatekeeper.ended("s-1", "lost", Outcome::ended, Cause::none, {});
+    CHECK(w.counters.reset == 1 && w.counters.errors == 0 && w.counters.answered == 0);
+    w.pass(4s);
+    CHECK(w.heard("lost") == Words{"refused"} && w.gatekeeper.calls() == 0);
+}
+
+// A single answer that was lost for seconds does not make all calls behind it late.
+void one_late_answer_holds_nobody_back() {
+    World w;
+    w.open();
+    w.offer("quick");
+    w.pass(20ms);
+    w.gatekeeper.stands("s-1", "quick", "d");
+    w.offer("slow", 1, 9s);
+    w.pass(8500ms);
+    w.gatekeeper.stands("s-1", "slow", "d");
+    w.circuits("s-1", 5);  // too few for calls that can only stand late
+    w.circuits("s-2", 0);
+    w.offer("next");
+    CHECK(w.sent.back().call == "next");
+}
+
 void nothing_new_goes_to_what_drains_or_has_gone() {
     World w;
     w.open();
@@ -377,6 +405,8 @@
     a_set_up_belongs_to_its_connection();
     an_answer_that_crosses_a_give_up_is_released();
     after_a_reset_the_release_is_awaited();
+    an_end_without_an_answer_is_no_answer();
+    one_late_answer_holds_nobody_back();
     nothing_new_goes_to_what_drains_or_has_gone();
     a_fresh_start_or_a_dead_process_cuts_its_calls();
     a_standing_call_outlives_its_connection();
