--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -438,10 +438,7 @@
         ++x.answered;
         x.base = x.base < 0 ? took : std::min(took, x.base + kBaseCreep * (took - x.base));
         group(x.number).base = x.base;
-        // One answer over the shortest aim has counted as none by then. Guards against a single one that was
-        // lost for seconds: all calls behind it were taken for late. May harm where all answers take so long.
-        const double seen = std::min(took, std::max(x.lag, shortest_aim_));
-        x.lag = x.lag <= 0 ? seen : x.lag + kLagWeight * (seen - x.lag);
+        x.lag = x.lag <= 0 ? took : x.lag + kLagWeight * (took - x.lag);
         judge(x.window, took - x.base, sent);
         judge_own(took - x.base, sent);
     }
