Add the operators' address, its figures and the drain

Replies are counted in the call table as they are passed on, attempts in Connection::write once written whole.

--- a/include/nettlestall/call_control.hpp
+++ b/include/nettlestall/call_control.hpp
@@ -238,6 +238,10 @@
     bool can_take(const Settings& settings) const;
     void take(Settings settings);
 
+    // Exchanges of the list that get no new set-ups as things are: those that drain, and those silent or full
+    // when last asked, which get a trial now and then.
+    std::size_t avoided() const;
+
     // In all tables that grow with calls and exchanges; for tests.
     std::size_t entries() const;
 
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -271,6 +271,15 @@
                numbers_.size() + refused_.size() + turned_back_.size();
     }
 
+    std::size_t avoided() const {
+        return static_cast<std::size_t>(
+            std::count_if(exchanges_.begin(), exchanges_.end(), [](const auto& at) {
+                const Exchange& x = at.second;
+                return x.state == ExchangeState::draining ||
+                       (x.state == ExchangeState::ready && x.silent.active());
+            }));
+    }
+
     void take(Settings settings) {
         s_ = std::move(settings);
         shortest_aim_ = s_.classes.empty() ? 1.0 : 1e9;
@@ -962,6 +971,9 @@
 bool CallControl::can_take(const Settings& settings) const {
     return impl_->can_take(settings);
 }
+std::size_t CallControl::avoided() const {
+    return impl_->avoided();
+}
 std::size_t CallControl::entries() const {
     return impl_->entries();
 }
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -64,6 +64,8 @@
     c.name = take<std::string>(document, "name", "");
     c.listen = take<std::string>(document, "listen", "");
     if (find(document, "feed")) c.feed = checked_address(need<std::string>(document, "feed"), "feed");
+    if (find(document, "operator"))
+        c.operators = checked_address(need<std::string>(document, "operator"), "operator");
     c.seed = read_seed(take<std::string>(document, "seed", "1"));
     within("limits", [&] {
         const Value& limits = part_or_empty(document, "limits", false);
@@ -104,6 +106,8 @@
     within("BALANCER_CONFIG", [&] { c = read_config(text.str()); });
     if (const char* name = std::getenv("BALANCER_NAME"); name && *name) c.name = name;
     if (const char* listen = std::getenv("BALANCER_LISTEN"); listen && *listen) c.listen = listen;
+    if (const char* at = std::getenv("BALANCER_OPERATOR"); at && *at)
+        c.operators = checked_address(at, "BALANCER_OPERATOR");
     if (c.listen.empty()) bad("neither BALANCER_LISTEN nor 'listen' is set");
     c.listen = checked_address(c.listen, "listen");
     return c;
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -13,8 +13,9 @@
 
 struct Config {
     std::string name;
-    std::string listen;  // address:port
-    std::string feed;    // address:port; empty: none
+    std::string listen;     // address:port
+    std::string feed;       // address:port; empty: none
+    std::string operators;  // address:port; empty: no address for operators
     std::uint64_t seed = 0;
     int memory_mb = 0, sockets = 0;
     Settings settings;
@@ -26,7 +27,8 @@
     Duration time_to_end() const;
 };
 
-// From the environment (BALANCER_CONFIG names the file; BALANCER_NAME and BALANCER_LISTEN win over it).
+// From the environment (BALANCER_CONFIG names the file; BALANCER_NAME, BALANCER_LISTEN and
+// BALANCER_OPERATOR win over it).
 // Throws json::BadInput.
 Config load();
 
--- a/src/counters.hpp
+++ b/src/counters.hpp
@@ -15,7 +15,10 @@
     std::uint64_t group_states = 0, list_events = 0, tests = 0, ignored = 0, malformed = 0;
     std::uint64_t client_connections = 0, client_connections_turned_away = 0, overflowed = 0;
     std::uint64_t client_connections_displaced = 0, client_connections_overdue = 0;
+    std::uint64_t client_connections_sent_away = 0, drains = 0;
     std::uint64_t reloads = 0, reloads_refused = 0;  // of the configuration, on SIGHUP
+    std::uint64_t set_ups_written = 0;               // attempts whose last byte went to a carrier switch
+    std::uint64_t operator_calls = 0, operator_calls_answered = 0, operator_calls_displaced = 0;
     std::uint64_t switch_connections = 0, switch_connections_lost = 0, feed_connections = 0;
 };
 
@@ -33,7 +36,11 @@
     f("client_connections_turned_away", c.client_connections_turned_away);
     f("client_connections_displaced", c.client_connections_displaced);
     f("client_connections_overdue", c.client_connections_overdue);
+    f("client_connections_sent_away", c.client_connections_sent_away), f("drains", c.drains);
     f("overflowed", c.overflowed), f("reloads", c.reloads), f("reloads_refused", c.reloads_refused);
+    f("set_ups_written", c.set_ups_written), f("operator_calls", c.operator_calls);
+    f("operator_calls_answered", c.operator_calls_answered);
+    f("operator_calls_displaced", c.operator_calls_displaced);
     f("switch_connections", c.switch_connections);
     f("switch_connections_lost", c.switch_connections_lost), f("feed_connections", c.feed_connections);
 }
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -3,11 +3,14 @@
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
 #include <iostream>
+#include <optional>
 
 #include "config/config.hpp"
 #include "net/clients.hpp"
 #include "net/feed.hpp"
+#include "net/figures.hpp"
 #include "net/gatekeeper.hpp"
+#include "net/operators.hpp"
 #include "net/servers.hpp"
 
 namespace nettlestall {
@@ -35,16 +38,18 @@
         std::chrono::duration_cast<Duration>(std::chrono::system_clock::now().time_since_epoch());
 };
 
-// The names of the two addresses are looked up nowhere, so they must be numeric.
+// The names of the addresses are looked up nowhere, so they must be numeric.
 config::Config load() {
     config::Config config = config::load();
     if (!net::to_endpoint(config.listen)) json::bad_key("listen", "a numeric address:port");
     if (!config.feed.empty() && !net::to_endpoint(config.feed))
         json::bad_key("feed", "a numeric address:port");
+    if (!config.operators.empty() && !net::to_endpoint(config.operators))
+        json::bad_key("operator", "a numeric address:port");
     return config;
 }
 
-class Program {
+class Program final : public protocol::OperatorEvents {
    public:
     Program(asio::io_context& io, const config::Config& config)
         : listen_(config.listen),
@@ -61,11 +66,14 @@
           stop_tick_(io),
           signals_(io, SIGTERM, SIGINT, SIGUSR1) {
         signals_.add(SIGHUP);
+        if (!config.operators.empty())
+            operators_.emplace(io, *net::to_endpoint(config.operators), *this, counters_);
         servers_.report_to(gatekeeper_);
         gatekeeper_.on_schedule([this](Instant at) { arm(at); });
         gatekeeper_.on_note([this](const std::string& text) {
             if (++notes_ <= kNotes) std::cerr << "note: " << text << '\n';
         });
+        clients_.send_away_while([this] { return gatekeeper_.sends_away(); });
         bool first = true;
         for (ListEvent event : config.events) {
             if (!event.has_list) continue;
@@ -75,10 +83,19 @@
         net::spawn(io, watch_signals());
         feed_.start();
         clients_.start();
+        if (operators_) operators_->start();
     }
 
     const Counters& counters() const { return counters_; }
 
+    bool ready() override { return gatekeeper_.ready(); }
+    std::string metrics() const override { return net::figures(gatekeeper_, counters_); }
+    void drain() override {
+        ++counters_.drains;
+        gatekeeper_.drain();
+    }
+    void undrain() override { gatekeeper_.undrain(); }
+
    private:
     static std::size_t memory(const config::Config& config) {
         return static_cast<std::size_t>(config.memory_mb) * 1024 * 1024;
@@ -159,6 +176,7 @@
             if ((done && now >= told + kServeOn) || now >= end + kLastWrites) break;
         }
         clients_.stop();
+        if (operators_) operators_->stop();
         feed_.stop();
         static_cast<asio::io_context&>(stop_tick_.get_executor().context()).stop();
     }
@@ -171,6 +189,7 @@
     net::Gatekeeper gatekeeper_;
     net::Clients clients_;
     net::Feed feed_;
+    std::optional<net::Operators> operators_;
     asio::steady_timer alarm_, stop_tick_;
     asio::signal_set signals_;
     int notes_ = 0;
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -12,6 +12,8 @@
 
 constexpr milliseconds kAcceptPause{20};  // after an error such as too many descriptors
 constexpr milliseconds kSweep{200};
+constexpr milliseconds kAwayTick{20};
+constexpr milliseconds kFirstChance{500};     // in a drain, for a connection that has asked for nothing yet
 constexpr milliseconds kFirstWord{2000};      // from its start until a connection has asked for something
 constexpr milliseconds kRestOfMessage{2000};  // from a message's first byte until its last
 
@@ -30,6 +32,11 @@
     bool idle() const { return connection_->idle(); }
     Clock::time_point heard() const { return half_.last_read(); }
     void hears(Clock::time_point now) { half_.heard(session_, now); }
+    // Closed now it takes nothing from anybody: no answer is owed, none is on its way, nothing has begun.
+    bool in_a_gap(Clock::time_point now) const {
+        return use().open == 0 && use().standing == 0 && idle() && !session_.within_message() &&
+               (session_.has_asked() || now - opened_ >= kFirstChance);
+    }
     // Ordinary callers may hold a connection without a call for as long as they like: only one that never
     // asked for anything, or that stopped within a message, takes a descriptor for nothing.
     bool overdue(Clock::time_point now) {
@@ -46,7 +53,7 @@
 
 Clients::Clients(asio::io_context& io, const tcp::endpoint& listen, std::size_t most, CallerEvents& events,
                  Counters& counters)
-    : acceptor_(io), sweep_(io), most_(most), events_(events), counters_(counters) {
+    : acceptor_(io), sweep_(io), away_tick_(io), most_(most), events_(events), counters_(counters) {
     acceptor_.open(listen.protocol());
     acceptor_.set_option(tcp::acceptor::reuse_address(true));
     acceptor_.bind(listen);
@@ -58,6 +65,7 @@
 void Clients::start() {
     spawn(acceptor_.get_executor(), accept());
     spawn(acceptor_.get_executor(), sweep());
+    spawn(acceptor_.get_executor(), send_away());
 }
 
 void Clients::stop() {
@@ -129,6 +137,20 @@
     }
 }
 
+asio::awaitable<void> Clients::send_away() {
+    while (acceptor_.is_open()) {
+        away_tick_.expires_after(kAwayTick);
+        co_await away_tick_.async_wait(asio::as_tuple(asio::use_awaitable));
+        if (!away_()) continue;
+        std::vector<std::shared_ptr<Client>> quiet;
+        const auto now = Clock::now();
+        std::copy_if(open_.begin(), open_.end(), std::back_inserter(quiet),
+                     [now](const auto& client) { return client->in_a_gap(now); });
+        counters_.client_connections_sent_away += quiet.size();
+        for (const auto& client : quiet) drop(client);
+    }
+}
+
 asio::awaitable<void> Clients::serve(std::shared_ptr<Client> client) {
     co_await client->connection().read_into(client->session(), [&client] { client->hears(Clock::now()); });
     drop(client);
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <functional>
 
 #include "net/connection.hpp"
 #include "protocol/callers.hpp"
@@ -17,6 +18,8 @@
     ~Clients();
 
     void start();
+    // Closes connections without an open set-up, as long as `wanted` says so.
+    void send_away_while(std::function<bool()> wanted) { away_ = std::move(wanted); }
     void use_most(std::size_t most) { most_ = most; }
     void stop();        // no new connections
     bool idle() const;  // all that was to be written has been
@@ -26,12 +29,14 @@
 
     asio::awaitable<void> accept();
     asio::awaitable<void> sweep();
+    asio::awaitable<void> send_away();
     asio::awaitable<void> serve(std::shared_ptr<Client> client);
     bool make_room();
     void drop(std::shared_ptr<Client> client);
 
     tcp::acceptor acceptor_;
-    asio::steady_timer sweep_;
+    asio::steady_timer sweep_, away_tick_;
+    std::function<bool()> away_ = [] { return false; };
     std::size_t most_;
     CallerEvents& events_;
     Counters& counters_;
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -65,6 +65,7 @@
         }
         const auto [error, bytes] =
             co_await asio::async_write(self->socket_, buffers, asio::as_tuple(asio::use_awaitable));
+        self->count_whole(frames, bytes);
         if (error) {
             self->close();
             break;
@@ -75,6 +76,14 @@
     self->writing_ = false;
 }
 
+// A write that breaks off may have brought some of its messages whole: the far end works on them.
+void Connection::count_whole(std::size_t frames, std::size_t bytes) {
+    for (std::size_t i = 0; i < frames && queue_[i].size() <= bytes; ++i) {
+        bytes -= queue_[i].size();
+        counters_.set_ups_written += queue_[i].attempt;
+    }
+}
+
 std::optional<tcp::endpoint> to_endpoint(const std::string& address) {
     const auto colon = address.rfind(':');
     if (colon == std::string::npos) return std::nullopt;
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -54,6 +54,7 @@
 
    private:
     static asio::awaitable<void> write(std::shared_ptr<Connection> self);
+    void count_whole(std::size_t frames, std::size_t bytes);  // of the first in the queue
 
     tcp::socket socket_;
     Counters& counters_;
--- /dev/null
+++ b/src/net/figures.cpp
@@ -0,0 +1,26 @@
+#include "net/figures.hpp"
+
+#include <string_view>
+
+namespace nettlestall::net {
+
+std::string figures(const Gatekeeper& gatekeeper, const Counters& counters) {
+    std::string text;
+    const auto line = [&text](std::string_view name, std::uint64_t value, char kind) {
+        text.append("app.").append(name).append(":").append(std::to_string(value)).append("|");
+        text.append(1, kind).append("\n");
+    };
+    for (const Gatekeeper::Replies& replies : gatekeeper.replies()) {
+        const std::string of = "replies." + replies.service_class;
+        line(of + ".success", replies.served, 'c');
+        line(of + ".overload", replies.refused, 'c');
+        line(of + ".error", replies.failed, 'c');
+    }
+    line("dispatches", counters.set_ups_written, 'c');
+    line("concurrent", gatekeeper.calls(), 'g');
+    line("targets", gatekeeper.listed(), 'g');
+    line("targets_disabled", gatekeeper.avoided(), 'g');
+    return text;
+}
+
+}  // namespace nettlestall::net
--- /dev/null
+++ b/src/net/figures.hpp
@@ -0,0 +1,13 @@
+// The figures that operators read, one a line: name:value|kind, with c for counts since the start and g for
+// what is so now.
+#pragma once
+
+#include <string>
+
+#include "net/gatekeeper.hpp"
+
+namespace nettlestall::net {
+
+std::string figures(const Gatekeeper& gatekeeper, const Counters& counters);
+
+}  // namespace nettlestall::net
--- a/src/net/gatekeeper.cpp
+++ b/src/net/gatekeeper.cpp
@@ -11,6 +11,9 @@
 constexpr Duration kReadyAnyway =
     milliseconds(1500);                               // a silent switch must not keep the front away for ever
 constexpr Duration kOverdueSlack = milliseconds(20);  // past the caller's patience, before the guard answers
+constexpr Duration kFrontTurns = milliseconds(200);   // from the first no until callers come no more
+constexpr Duration kNobodyAsks = milliseconds(600);   // after an order to drain
+constexpr Duration kNoMoreSetUps = milliseconds(1800);  // after it: callers must be gone 4 s after it
 constexpr std::size_t kReleasesOwed = 20'000;
 
 }  // namespace
@@ -23,7 +26,9 @@
       switches_(switches),
       counters_(counters),
       most_held_(most_held),
-      started_(time_()) {}
+      started_(time_()) {
+    for (const ClassSettings& named : settings_.classes) replies_.push_back({.service_class = named.name});
+}
 
 void Gatekeeper::take(const Settings& settings, std::size_t most_held) {
     settings_ = settings;
@@ -96,8 +101,9 @@
     at->second.answer_due.reset();
     ++counters_.overdue;
     CallerLink* const link = at->second.link;
+    const std::string service_class = at->second.service_class;
     abandon(at);
-    if (link) link->release(timer.call, Ending::failed);
+    refuse_or_fail(link, timer.call, service_class, Ending::failed);
 }
 
 // ---- Its actions -----------------------------------------------------------------------------------
@@ -171,9 +177,22 @@
     if (at == calls_.end() || at->second.phase == Phase::standing) return;
     if (at->second.phase == Phase::out) switches_.give_up(at->second.at, id);
     CallerLink* const link = at->second.link;
+    const std::string service_class = std::move(at->second.service_class);
     settle_answer(at->second);
     calls_.erase(at);
-    if (link) link->release(id, ending);
+    refuse_or_fail(link, id, service_class, ending);
+}
+
+void Gatekeeper::refuse_or_fail(CallerLink* link, const CallId& id, std::string_view service_class,
+                                Ending ending) {
+    if (!link) return;
+    count(service_class, ending == Ending::refused ? &Replies::refused : &Replies::failed);
+    link->release(id, ending);
+}
+
+void Gatekeeper::count(std::string_view service_class, std::uint64_t Replies::*reply) {
+    for (Replies& replies : replies_)
+        if (replies.service_class == service_class) ++(replies.*reply);
 }
 
 // The call has its final answer, or is owed none.
@@ -193,7 +212,7 @@
     if (const auto at = calls_.find(offer.call); at != calls_.end()) {
         ++counters_.repeated;
         // On the call's own connection its one answer will do. Elsewhere somebody else waits for an answer.
-        if (at->second.link != &link) link.release(offer.call, Ending::failed);
+        if (at->second.link != &link) refuse_or_fail(&link, offer.call, offer.service_class, Ending::failed);
         return;
     }
     ++counters_.set_ups;
@@ -201,12 +220,14 @@
     counters_.redials += offer.redial;
     const auto named = std::find_if(settings_.classes.begin(), settings_.classes.end(),
                                     [&](const ClassSettings& c) { return c.name == offer.service_class; });
+    // A drain's refusals are for connections that never pause: each is to have its last answer and be closed.
     const bool full =
-        held_ + offer.description.size() > most_held_ ||
+        takes_none() || held_ + offer.description.size() > most_held_ ||
         (settings_.max_open_calls > 0 && unanswered_ >= static_cast<std::size_t>(settings_.max_open_calls));
     if (named == settings_.classes.end() || !makes_sense(offer, *named) || full) {
         ++(full ? counters_.refused : counters_.failed);
-        return link.release(offer.call, full ? Ending::refused : Ending::failed);
+        return refuse_or_fail(&link, offer.call, offer.service_class,
+                              full ? Ending::refused : Ending::failed);
     }
     Call& call = calls_[offer.call];
     ++unanswered_;
@@ -277,8 +298,23 @@
                           .lag = time_() - call.sent});
 }
 
-bool Gatekeeper::ready() const {
-    if (leaving_) return false;
+void Gatekeeper::drain() {
+    if (!drain_) drain_ = Drain{.since = time_(), .heard = {}};
+}
+
+bool Gatekeeper::sends_away() const {
+    if (!drain_) return false;
+    return time_() >= std::min(drain_->since + kNobodyAsks,
+                               drain_->heard.value_or(Instant::max() - kFrontTurns) + kFrontTurns);
+}
+
+bool Gatekeeper::takes_none() const {
+    return drain_ && time_() - drain_->since >= kNoMoreSetUps;
+}
+
+bool Gatekeeper::ready() {
+    if (drain_ && !drain_->heard) drain_->heard = time_();
+    if (leaving_ || drain_) return false;
     if (time_() - started_ >= kReadyAnyway) return true;
     return !exchanges_.empty() &&
            std::all_of(exchanges_.begin(), exchanges_.end(), [this](const auto& known) {
@@ -331,8 +367,9 @@
         if (at == calls_.end()) continue;
         ++counters_.refused;
         CallerLink* const link = at->second.link;
+        const std::string service_class = at->second.service_class;
         abandon(at);  // the module hears of it too
-        if (link) link->release(id, Ending::refused);
+        refuse_or_fail(link, id, service_class, Ending::refused);
     }
 }
 
@@ -352,7 +389,10 @@
     ++counters_.stood;
     ++counters_.answered;
     if (call.link) ++call.link->use.standing;
-    if (call.link) call.link->answer(id, std::make_shared<const std::string>(description));
+    if (call.link) {
+        count(call.service_class, &Replies::served);
+        call.link->answer(id, std::make_shared<const std::string>(description));
+    }
     tell(CallStands{id, call.attempts - 1, exchange, time_() - call.sent});
 }
 
--- a/src/net/gatekeeper.hpp
+++ b/src/net/gatekeeper.hpp
@@ -38,8 +38,22 @@
 
     // From the front's tests on nothing new is wanted. What comes all the same is answered by `end`.
     void leave(Instant end) { leaving_ = true, end_ = end; }
+
+    // The front is to send callers elsewhere, until the drain ends. Calls that were taken go on as ever.
+    void drain();
+    void undrain() { drain_.reset(); }
+    // The front has had the time to turn away: callers' connections may be closed where nothing is open.
+    bool sends_away() const;
+
     std::size_t unanswered() const { return unanswered_; }
     std::size_t calls() const { return calls_.size(); }
+    struct Replies {  // final answers passed on to callers of one class
+        std::string service_class;
+        std::uint64_t served = 0, refused = 0, failed = 0;
+    };
+    const std::vector<Replies>& replies() const { return replies_; }
+    std::size_t listed() const { return exchanges_.size(); }
+    std::size_t avoided() const { return control_.avoided(); }  // of those listed, by the module
     // In all tables, the module's too: each is bounded by the calls and exchanges in hand.
     std::size_t entries() const;
     // Every call still without its final answer gets it now.
@@ -47,7 +61,7 @@
 
     void offered(CallerLink& link, const Offer& offer) override;
     void released(CallerLink& link, const CallId& call) override;
-    bool ready() const override;
+    bool ready() override;
     void caller_up(CallerLink& link) override;
     void caller_gone(CallerLink& link) override;
 
@@ -99,6 +113,7 @@
 
     // Tells the module, carries out what it says, and goes on with what comes of that.
     void tell(Event event);
+    bool takes_none() const;  // set-ups come too late in a drain for a connection that must be closed
     void later(Event event) { events_.push_back(std::move(event)); }
     Timers::iterator schedule(Instant at, Due due);
     void unschedule(std::optional<Timers::iterator>& timer);
@@ -127,6 +142,9 @@
     void abandon(Calls::iterator at);
     void release_caller(const CallId& id, const Call& call, Ending ending);
     void settle_answer(Call& call);
+    // Passes the final answer on where somebody is left to hear it, and counts it there.
+    void refuse_or_fail(CallerLink* link, const CallId& id, std::string_view service_class, Ending ending);
+    void count(std::string_view service_class, std::uint64_t Replies::*reply);
     static bool makes_sense(const Offer& offer, const ClassSettings& service_class);
     void cut_standing(const ExchangeId& at);
 
@@ -135,6 +153,7 @@
     Time time_;
     Switches& switches_;
     Counters& counters_;
+    std::vector<Replies> replies_;  // by class, in the order of the settings
     std::function<void(Instant)> earlier_;
     std::function<void(const std::string&)> note_;
 
@@ -154,6 +173,11 @@
     bool telling_ = false;
     Instant started_{};
     bool leaving_ = false;
+    struct Drain {
+        Instant since{};
+        std::optional<Instant> heard;  // by whoever asked first
+    };
+    std::optional<Drain> drain_;
     Instant end_ = Instant::max();
 };
 
--- a/src/protocol/codec.cpp
+++ b/src/protocol/codec.cpp
@@ -137,7 +137,7 @@
 }
 
 Frame FrameBuilder::close(std::shared_ptr<const std::string> tail) {
-    Frame frame{std::move(head_), std::move(tail)};
+    Frame frame{.head = std::move(head_), .tail = std::move(tail)};
     put_big_endian(frame.head, 0, frame.size() - kLengthBytes);
     return frame;
 }
--- a/src/protocol/codec.hpp
+++ b/src/protocol/codec.hpp
@@ -98,6 +98,7 @@
 struct Frame {
     std::string head;
     std::shared_ptr<const std::string> tail;
+    bool attempt = false;  // a set-up to a carrier switch: counted once it is written whole
 
     std::size_t size() const { return head.size() + (tail ? tail->size() : 0); }
 };
--- /dev/null
+++ b/src/protocol/operators.hpp
@@ -0,0 +1,47 @@
+// The operators' side: one HTTP/1.1 call in, one reply out. Knows no socket.
+#pragma once
+
+#include <cstddef>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace nettlestall::protocol {
+
+// What operators can ask for and order.
+class OperatorEvents {
+   public:
+    virtual bool ready() = 0;                 // the same answer as the front's test gets
+    virtual std::string metrics() const = 0;  // lines of name:value|kind
+    virtual void drain() = 0;                 // further orders of the same kind change nothing
+    virtual void undrain() = 0;
+
+   protected:
+    ~OperatorEvents() = default;
+};
+
+class OperatorSession {
+   public:
+    static constexpr std::size_t kLongestHead = 8 * 1024;   // of the request line and all fields
+    static constexpr std::size_t kLongestBody = 64 * 1024;  // read and passed over: no call needs one
+
+    explicit OperatorSession(OperatorEvents& events) : events_(events) {}
+
+    std::span<char> space();
+    // Takes what was read into space(). False: nothing more is wanted, the reply is there.
+    bool fed(std::size_t bytes);
+    const std::string& reply() const { return reply_; }
+
+   private:
+    bool read_head(std::string_view head);  // false: refused, with a reply
+    bool read_field(std::string_view line);
+    bool refuse(const char* status, std::string_view more = {});
+    void carry_out();
+
+    OperatorEvents& events_;
+    std::string bytes_, method_, target_, reply_;
+    std::size_t end_ = 0, body_ = 0;
+    bool in_body_ = false, host_ = false, length_ = false;
+};
+
+}  // namespace nettlestall::protocol
--- a/src/protocol/signals.hpp
+++ b/src/protocol/signals.hpp
@@ -50,7 +50,7 @@
    public:
     virtual void offered(CallerLink& link, const Offer& offer) = 0;
     virtual void released(CallerLink& link, const CallId& call) = 0;  // given up, or over
-    virtual bool ready() const = 0;
+    virtual bool ready() = 0;                                         // what the front is told when it asks
     virtual void caller_up(CallerLink& link) = 0;
     virtual void caller_gone(CallerLink& link) = 0;
 
--- a/src/protocol/switches.cpp
+++ b/src/protocol/switches.cpp
@@ -64,7 +64,9 @@
     FrameBuilder frame(Type::set_up, forward.call);
     frame.text(Code::service_class, forward.service_class).text(Code::patience, std::to_string(wait));
     if (!forward.number.empty()) frame.text(Code::number, forward.number);
-    return frame.done(forward.description);
+    Frame done = frame.done(forward.description);
+    done.attempt = true;
+    return done;
 }
 
 Frame SwitchSession::release(const CallId& call) {
--- a/tests/net/calls_test.cpp
+++ b/tests/net/calls_test.cpp
@@ -263,6 +263,41 @@
     CHECK(w.heard("a") == Words{"refused"} && w.gatekeeper.unanswered() == 0);
 }
 
+void a_drain_takes_set_ups_until_callers_must_go() {
+    World w;
+    w.open();
+    w.offer("before");
+    w.gatekeeper.drain();
+    CHECK(!w.gatekeeper.sends_away());
+    w.pass(100ms);
+    CHECK(!w.gatekeeper.ready());  // the front has heard
+    w.pass(100ms);
+    w.gatekeeper.drain();  // once more: it goes on as it is
+    CHECK(!w.gatekeeper.sends_away());
+    w.pass(110ms);
+    CHECK(w.gatekeeper.sends_away());
+    w.offer("within");
+    CHECK(w.sent.size() == 2);
+    w.pass(1500ms);
+    w.offer("late");
+    CHECK(w.heard("late") == Words{"refused"} && w.sent.size() == 2 && w.gatekeeper.unanswered() == 2);
+    w.gatekeeper.stands("s-1", "before", "d");
+    CHECK(w.heard("before") == Words{"answer d"});
+    w.gatekeeper.undrain();
+    CHECK(w.gatekeeper.ready() && !w.gatekeeper.sends_away());
+    w.offer("after");
+    CHECK(w.sent.size() == 3);
+    const auto& replies = w.gatekeeper.replies().at(0);
+    CHECK(replies.served == 1 && replies.refused == 1 && replies.failed == 0);
+    CHECK(w.gatekeeper.listed() == 3 && w.gatekeeper.avoided() == 0);
+    w.pass(5s);  // nobody has answered in time
+    CHECK(w.gatekeeper.avoided() == 1);
+    World unasked;
+    unasked.gatekeeper.drain();
+    unasked.pass(700ms);
+    CHECK(unasked.gatekeeper.sends_away());
+}
+
 // Exchanges are replaced all day and every call has a new id and number: nothing of them may stay.
 void tables_shrink_back() {
     World w;
@@ -395,6 +430,7 @@
     a_standing_call_outlives_its_connection();
     a_call_in_transit_goes_to_its_destination_or_back();
     the_test_is_failed_while_leaving();
+    a_drain_takes_set_ups_until_callers_must_go();
     tables_shrink_back();
     the_rules_hold_in_any_order();
 }
--- a/tests/net/codec_test.cpp
+++ b/tests/net/codec_test.cpp
@@ -6,6 +6,7 @@
 #include "check.hpp"
 #include "protocol/callers.hpp"
 #include "protocol/feed.hpp"
+#include "protocol/operators.hpp"
 #include "protocol/switches.hpp"
 
 using namespace nettlestall;
@@ -44,7 +45,7 @@
                        std::string(o.description));
     }
     void released(CallerLink&, const CallId& call) override { told.push_back("released " + call); }
-    bool ready() const override { return in; }
+    bool ready() override { return in; }
     void caller_up(CallerLink&) override {}
     void caller_gone(CallerLink&) override {}
     void stands(const ExchangeId& at, const CallId& call, std::string_view d) override {
@@ -255,9 +256,69 @@
     CHECK(events.size() == 1);
 }
 
+struct Desk final : OperatorEvents {
+    bool in = true;
+    std::string ordered;
+    bool ready() override { return in; }
+    std::string metrics() const override { return "app.concurrent:3|g\n"; }
+    void drain() override { ordered += "d"; }
+    void undrain() override { ordered += "u"; }
+};
+
+// The status of the reply, however the call is cut; 0 where more is wanted.
+int status(const std::string& text, Desk& desk, Dice* dice = nullptr, std::string* reply = nullptr) {
+    OperatorSession session(desk);
+    feed(session, text, dice);
+    if (reply) *reply = session.reply();
+    return session.reply().empty() ? 0 : std::stoi(session.reply().substr(9, 3));
+}
+
+void operators_get_what_they_ask_for() {
+    const std::string host = " HTTP/1.1\r\nHost: g\r\n", end = "\r\n";
+    Desk desk;
+    std::string reply;
+    for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+        Dice dice{seed};
+        CHECK(status("GET /ready" + host + end, desk, &dice) == 200);
+        CHECK(status("\r\nPOST /drain?why=x" + host + "content-LENGTH: 5 \r\n\r\nabcde", desk, &dice) == 200);
+        CHECK(status("GET /metrics HTTP/1.0\n\n", desk, &dice, &reply) == 200);
+        CHECK(reply.ends_with("\r\nConnection: close\r\n\r\napp.concurrent:3|g\n"));
+    }
+    CHECK(desk.ordered == std::string(100, 'd'));
+    CHECK(status("POST /undrain" + host + end, desk) == 200 && desk.ordered.back() == 'u');
+    desk.in = false;
+    CHECK(status("GET /ready" + host + end, desk) == 503);
+    desk.ordered.clear();
+    CHECK(status("GET /nothing" + host + end, desk) == 404);
+    CHECK(status("GET /drain" + host + end, desk, nullptr, &reply) == 405);
+    CHECK(reply.find("\r\nAllow: POST\r\n") != std::string::npos);
+    CHECK(status("POST /ready" + host + end, desk) == 405);
+    CHECK(status("POST /drain" + host + "Content-Length: 5\r\n\r\nabcd", desk) == 0);
+    CHECK(status("POST /drain" + host + "Content-Length: 99999999999999999999\r\n\r\n", desk) == 413);
+    CHECK(status("POST /drain" + host + "Content-Length: 3\r\nContent-Length: 4\r\n\r\n", desk) == 400);
+    CHECK(status("POST /drain" + host + "Transfer-Encoding: chunked\r\n\r\n", desk) == 501);
+    CHECK(status("GET /ready HTTP/2.0\r\n\r\n", desk) == 505);
+    for (const char* bad :
+         {"GET /ready\r\n\r\n", "GET  HTTP/1.1\r\nHost: g\r\n\r\n", "GET ready HTTP/1.1\r\n\r\n",
+          "G@T /ready HTTP/1.1\r\nHost: g\r\n\r\n", "GET /ready HTTP/1.1\r\n\r\n",
+          "GET /ready HTTP/1.1\r\nHost : g\r\n\r\n", "\x16\x03\x01\n\n"})
+        CHECK(status(bad, desk) == 400);
+    CHECK(status("GET /ready" + host + "x: " + std::string(9000, 'x'), desk) == 431);
+    CHECK(status(std::string(9000, '\n'), desk) == 431);
+    CHECK(desk.ordered.empty());
+    for (std::uint64_t seed = 1; seed <= 1000; ++seed) {
+        Dice dice{seed * 6151};
+        std::string text = "POST /drain" + host + "Content-Length: 5\r\n" + end + "abcde";
+        for (std::size_t n = 1 + dice.below(8); n > 0; --n)
+            text[dice.below(text.size())] = static_cast<char>(dice.below(256));
+        status(text, desk, &dice);
+    }
+}
+
 }  // namespace
 
 int main() {
+    operators_get_what_they_ask_for();
     callers_say_the_same_however_cut();
     switches_say_what_the_protocol_means();
     messages_are_written_as_the_protocol_says();
--- a/tests/net/config_test.cpp
+++ b/tests/net/config_test.cpp
@@ -55,6 +55,7 @@
     CHECK(names("{}", "settings"));
     CHECK(names(file("\"name\":7,"), "name"));
     CHECK(names(file("\"seed\":\"zz\","), "seed"));
+    CHECK(names(file("\"operator\":\"nowhere\","), "operator"));
     CHECK(names(file("\"feed\":\"nowhere\","), "feed"));
     CHECK(names(file("\"feed\":\"127.0.0.1:70000\","), "feed"));
     CHECK(names(file("\"limits\":{\"sockets\":4},"), "sockets"));
--- /dev/null
+++ b/tests/net/loopback.hpp
@@ -0,0 +1,264 @@
+// The program as a child process, and its peers on loopback sockets: callers, carrier switches, the feed.
+#pragma once
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <cstring>
+#include <fstream>
+#include <sstream>
+#include <utility>
+
+#include "check.hpp"
+#include "protocol/codec.hpp"
+
+namespace nettlestall::test {
+
+using namespace nettlestall::protocol;
+
+constexpr int kPatienceSeconds = 20;  // for anything that must come
+
+// An address of this process's own, so that tests side by side do not meet.
+inline std::string own_address() {
+    const int pid = getpid();
+    return "127." + std::to_string(64 + (pid >> 16 & 63)) + '.' + std::to_string(pid >> 8 & 255) + '.' +
+           std::to_string(1 + (pid & 255) % 254);
+}
+
+inline sockaddr_in to_sockaddr(int port) {
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_port = htons(static_cast<std::uint16_t>(port));
+    inet_pton(AF_INET, own_address().c_str(), &to.sin_addr);
+    return to;
+}
+
+class Fd {
+   public:
+    explicit Fd(int fd) : fd_(fd) {
+        CHECK(fd >= 0);
+        const timeval patience{kPatienceSeconds, 0};
+        setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
+    }
+    Fd(Fd&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
+    Fd& operator=(Fd&& other) noexcept {
+        std::swap(fd_, other.fd_);
+        return *this;
+    }
+    ~Fd() { close(); }
+    void close() {
+        if (fd_ >= 0) ::close(std::exchange(fd_, -1));
+    }
+    int get() const { return fd_; }
+
+   private:
+    int fd_;
+};
+
+struct Heard {
+    Type type;
+    CallId call;
+    int cause;
+    std::string description, number, service_class;
+};
+
+class Peer {
+   public:
+    explicit Peer(int fd) : fd_(fd) {}
+
+    static Peer connect(int port) {
+        for (;;) {  // until the program listens
+            const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+            const sockaddr_in to = to_sockaddr(port);
+            if (::connect(fd, reinterpret_cast<const sockaddr*>(&to), sizeof to) == 0) return Peer(fd);
+            ::close(fd);
+            usleep(5000);
+        }
+    }
+    void say(const std::string& bytes) {
+        CHECK(::send(fd_.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
+              static_cast<ssize_t>(bytes.size()));
+    }
+    void say(const Frame& frame) { say(frame.head + (frame.tail ? *frame.tail : "")); }
+    // The next message that is not merely polite.
+    Heard hear() {
+        for (Message message;;) {
+            const Inbox::Next next = inbox_.next(message);
+            CHECK(next != Inbox::Next::malformed);
+            if (next == Inbox::Next::message) {
+                if (message.type == Type::release_heard) continue;
+                return {message.type,
+                        message.call(),
+                        message.cause(),
+                        std::string(message.text(Code::description)),
+                        std::string(message.text(Code::number)),
+                        std::string(message.text(Code::service_class))};
+            }
+            const auto space = inbox_.space();
+            const ssize_t bytes = ::recv(fd_.get(), space.data(), space.size(), 0);
+            CHECK(bytes > 0);
+            inbox_.filled(static_cast<std::size_t>(bytes));
+        }
+    }
+    int fd() const { return fd_.get(); }
+    bool closed_by_far_end() {
+        char byte = 0;
+        const ssize_t bytes = ::recv(fd_.get(), &byte, 1, 0);
+        return bytes == 0 || (bytes < 0 && errno == ECONNRESET);
+    }
+    std::string line() {
+        std::string text;
+        for (char c = 0; c != '\n'; text += c) CHECK(::recv(fd_.get(), &c, 1, 0) == 1);
+        return text;
+    }
+    std::string all() {  // until the far end closes
+        std::string text;
+        for (char c = 0; ::recv(fd_.get(), &c, 1, 0) == 1;) text += c;
+        return text;
+    }
+    void hang_up() { fd_.close(); }
+
+   private:
+    Fd fd_;
+    Inbox inbox_;
+};
+
+class Listener {
+   public:
+    Listener() : fd_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+        sockaddr_in at = to_sockaddr(0);
+        CHECK(::bind(fd_.get(), reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0);
+        CHECK(::listen(fd_.get(), 16) == 0);
+        socklen_t size = sizeof at;
+        CHECK(getsockname(fd_.get(), reinterpret_cast<sockaddr*>(&at), &size) == 0);
+        port_ = ntohs(at.sin_port);
+    }
+    Peer accept() { return Peer(::accept(fd_.get(), nullptr, nullptr)); }
+    void hang_up() { fd_.close(); }
+    int port() const { return port_; }
+    std::string address() const { return own_address() + ':' + std::to_string(port_); }
+
+   private:
+    Fd fd_;
+    int port_ = 0;
+};
+
+class Program {
+   public:
+    // `operators`: the operators' port; `shared`: the folder that it shares with the one before and after it.
+    Program(const char* path, const std::string& config, int operators = 0, const std::string& shared = "")
+        : stem_("/tmp/program_test." + std::to_string(getpid()) + '.' + std::to_string(++count())) {
+        const std::string at = own_address() + ':' + std::to_string(operators);
+        configure(config);
+        pid_ = fork();
+        CHECK(pid_ >= 0);
+        if (pid_ == 0) {
+            prctl(PR_SET_PDEATHSIG, SIGKILL);  // a check that fails must not leave it running
+            setenv("BALANCER_CONFIG", (stem_ + ".json").c_str(), 1);
+            unsetenv("BALANCER_LISTEN");
+            operators ? setenv("BALANCER_OPERATOR", at.c_str(), 1) : unsetenv("BALANCER_OPERATOR");
+            shared.empty() ? unsetenv("TMPDIR") : setenv("TMPDIR", shared.c_str(), 1);
+            dup2(open((stem_ + ".log").c_str(), O_CREAT | O_TRUNC | O_WRONLY, 0600), 2);
+            execl(path, path, nullptr);
+            _exit(127);
+        }
+    }
+    ~Program() {
+        if (pid_ > 0) ::kill(pid_, SIGKILL), waitpid(pid_, nullptr, 0);
+        for (const char* end : {".json", ".log"}) unlink((stem_ + end).c_str());
+    }
+    void configure(const std::string& config) { std::ofstream(stem_ + ".json") << config; }
+    void signal(int number) { CHECK(::kill(pid_, number) == 0); }
+    int exit_code() {
+        int status = 0;
+        CHECK(waitpid(std::exchange(pid_, -1), &status, 0) > 0);
+        return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+    }
+    std::string log() const {
+        std::stringstream text;
+        text << std::ifstream(stem_ + ".log").rdbuf();
+        return text.str();
+    }
+    void await_log(const std::string& text) const {
+        while (log().find(text) == std::string::npos) usleep(5000);
+    }
+
+   private:
+    static int& count() {
+        static int programs = 0;
+        return programs;
+    }
+
+    std::string stem_;
+    pid_t pid_ = -1;
+};
+
+inline std::string server(int cell, const std::string& address, const char* state = "active") {
+    return R"({"id":"s-)" + std::to_string(cell) + R"(","addr":")" + address + R"(","cell":)" +
+           std::to_string(cell) + R"(,"state":")" + state + R"(","started_ms":0})";
+}
+
+inline std::string event(int number, bool full, const std::string& servers) {
+    return R"({"n":)" + std::to_string(number) + R"(,"members":{"version":1,"full":)" +
+           (full ? "true" : "false") + R"(,"servers":[)" + servers + "]}}";
+}
+
+inline std::string set_up(const CallId& call, int to, int patience_ms, const char* service_class = "move") {
+    const Frame frame = FrameBuilder(Type::set_up, call)
+                            .text(Code::service_class, service_class)
+                            .text(Code::patience, std::to_string(patience_ms))
+                            .text(Code::number, "7f3a")
+                            .text(Code::figures, "dest:" + std::to_string(to) + ";width:1;via:-1")
+                            .done(std::make_shared<const std::string>("offer of " + call));
+    return frame.head + *frame.tail;
+}
+
+inline Frame answer(const CallId& call) {
+    return FrameBuilder(Type::answer, call).done(std::make_shared<const std::string>("media\r\n of " + call));
+}
+
+inline Frame group(const char* state) {
+    return FrameBuilder(Type::group_state, "").text(Code::report, state).done();
+}
+
+inline Frame release(const CallId& call, std::uint8_t cause) {
+    return FrameBuilder(Type::release, call).cause(cause).done();
+}
+
+inline Heard test(Peer& caller) {
+    caller.say(FrameBuilder(Type::test, "00000000000000aa").cause(0).done());
+    const Heard heard = caller.hear();
+    CHECK(heard.type == Type::test_result && heard.call == "00000000000000aa");
+    return heard;
+}
+
+// An operator's call and its whole reply; the status is its second word.
+inline std::string operators(int port, const std::string& call) {
+    Peer peer = Peer::connect(port);
+    peer.say(call + " HTTP/1.1\r\nHost: gatekeeper\r\n\r\n");
+    return peer.all();
+}
+
+inline bool says_yes(int port, const std::string& call) {
+    return operators(port, call).find(" 200 ") == 8;
+}
+
+// A long connect time-out keeps the program from taking a slow test for a silent switch.
+inline std::string config(int port, const Listener& feed, const Listener& at_switch,
+                          const char* connect_time_out) {
+    return R"({"name":"n","listen":")" + own_address() + ':' + std::to_string(port) + R"(","feed":")" +
+           feed.address() + R"(","seed":"5","known":{"n":1,"events":[)" +
+           event(1, true, server(1, at_switch.address())) +
+           R"(]},"limits":{"sockets":40},"settings":{"self_index":0,"fleet_size":3,)"
+           R"("family_info":{"this_node":0,"release_s":0.3},)"
+           R"("grades":[{"name":"move","aim_s":20,"deadline_s":90}],"limits":{"send_cap":5,"open_cap":100,)"
+           R"("dial_timeout_s":)" +
+           connect_time_out + R"(},"obligations":{"drain_grace_s":0.5,"grace_to_answer_s":0.02}}})";
+}
+
+}  // namespace nettlestall::test
