--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -14,11 +14,14 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kAcceptPause{20};  // after an error such as too many descriptors
-constexpr milliseconds kSweep{200};
+constexpr milliseconds kPieceGap{400};    // within it a caller goes on, who has connected or sent a piece
+constexpr milliseconds kSweep{100};
 constexpr milliseconds kAwayTick{20};
-constexpr milliseconds kFirstChance{500};     // in a drain, for a connection that has asked for nothing yet
-constexpr milliseconds kFirstWord{2000};      // from its start until a connection has asked for something
-constexpr milliseconds kRestOfMessage{2000};  // from a message's first byte until its last
+constexpr milliseconds kFirstChance{500};  // in a drain, for a connection that has asked for nothing yet
+// From its start until a connection has asked for something, in pieces or not: whoever never does is owed a
+// close within 3 s.
+constexpr milliseconds kFirstWord{2800};
+constexpr milliseconds kRestOfMessage{2800};  // from a message's first byte until its last
 
 }  // namespace
 
@@ -35,6 +38,10 @@
     bool idle() const { return connection_->idle(); }
     Clock::time_point heard() const { return half_.last_read(); }
     void hears(Clock::time_point now) { half_.heard(session_, now); }
+    // New, or with a message that comes in pieces.
+    bool about_to_ask(Clock::time_point now) const {
+        return (!session_.has_asked() || session_.within_message()) && now - heard() < kPieceGap;
+    }
     bool between_set_ups() const { return use().open == 0 && idle(); }
     // Closed now it takes nothing from anybody: no answer is owed, none is on its way, nothing has begun.
     bool in_a_gap(Clock::time_point now) const {
@@ -143,15 +150,17 @@
 }
 
 // Guards against callers that hold connections for nothing, be it one with hundreds or hundreds with one
-// each: a further caller takes the place of a connection without a set-up. Whoever holds the most of these
-// loses one first, then one that never asked, one without a standing call, the one longest silent.
+// each: a further caller takes the place of a connection without a set-up. One where calls stand goes last,
+// as their releases are to find it, and before it one that is still about to ask. Of the others whoever holds
+// the most loses one first, then one that never asked, the one longest silent.
 bool Clients::make_room() {
     std::map<std::string_view, int> held;
     for (const auto& client : open_) ++held[client->session().origin()];
-    const auto worth_keeping = [&held](const std::shared_ptr<Client>& client) {
+    const auto now = Clock::now();
+    const auto worth_keeping = [&held, now](const std::shared_ptr<Client>& client) {
         protocol::CallerSession& session = client->session();
-        return std::tuple(session.use.open > 0, -held[session.origin()], session.has_asked(),
-                          session.use.standing > 0, client->heard());
+        return std::tuple(session.use.open > 0, session.use.standing > 0, client->about_to_ask(now),
+                          -held[session.origin()], session.has_asked(), client->heard());
     };
     const auto least = std::min_element(open_.begin(), open_.end(), [&](const auto& a, const auto& b) {
         return worth_keeping(a) < worth_keeping(b);
--- a/tests/net/program_test.cpp
+++ b/tests/net/program_test.cpp
@@ -96,6 +96,33 @@
     program.await_log(" client_connections_turned_away=0 ");
 }
 
+// In a crowd of callers that asked once and stay, releases still find the connection of their call, though
+// its caller holds more connections than any other.
+void a_crowd_displaces_no_standing_call(const char* path) {
+    Listener at, feed_at;
+    const int port = Listener().port();
+    Program program(path, config(port, feed_at, at, "10"));  // 40 descriptors: 20 callers
+    Peer at_switch = at.accept();
+    at_switch.say(group("x0:9;x1:9"));
+    Peer caller = Peer::connect(port), spare = Peer::connect(port);
+    while (test(caller).cause != 1) usleep(5000);
+    const CallId one = "0000000000000001", two = "0000000000000002";
+    spare.say(set_up(two, 1, 20'000));
+    CHECK(at_switch.hear().call == two);
+    caller.say(set_up(one, 1, 20'000));
+    CHECK(at_switch.hear().call == one);
+    at_switch.say(answer(one));
+    CHECK(caller.hear().type == Type::answer);
+    std::vector<Peer> crowd;
+    for (int i = 1; i <= 60; ++i) {
+        crowd.push_back(Peer::connect(port, ("127.1.0." + std::to_string(i)).c_str()));
+        CHECK(test(crowd.back()).cause == 1);  // each is let in, however new
+    }
+    at_switch.say(release(one, 16));
+    const Heard heard = caller.hear();
+    CHECK(heard.type == Type::release && heard.call == one);
+}
+
 // An answer stops short and the connection stays open: what is out there would wait behind it for ever.
 void a_halted_connection_is_closed(const char* path) {
     Listener at, feed_at;
@@ -220,6 +247,7 @@
     a_silent_switch_is_dialled_anew(arguments[1]);
     it_takes_a_new_configuration(arguments[1]);
     idle_connections_make_room(arguments[1]);
+    a_crowd_displaces_no_standing_call(arguments[1]);
     a_halted_connection_is_closed(arguments[1]);
     it_serves(arguments[1]);
 }
