Let one answer move an exchange's mean lag by a bounded step only

At fault: CallControl::answered in choice.cpp, where one answer seconds late moved the mean over the aim, so that every call with less than half a group free was refused on sight. Ruled out: operators' calls (none late, no figure untrue), callers' connections (12 in all, none displaced), CPU (0.04 s in the worst second).

Test: Route.OneLateAnswerMakesNoCallLate fails without the bound.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -56,6 +56,7 @@
     0.001;                        // of an answer's excess, so that a longer path, not ageing, is got used to
 constexpr double kOwnStep = 0.2;  // of the shortest aim: how far one answer moves the middle excess lag
 constexpr double kLagWeight = 0.25;                // of the newest lag in the running mean
+constexpr double kLagStep = 0.4;                   // of the shortest aim: how far one answer moves that mean
 constexpr double kLagFade = 0.5;                   // of the excess lag kept over a second without an answer
 constexpr Duration kTrialGap = milliseconds(500);  // until a silent processor is tried again, doubling
 constexpr Duration kLongestTrialGap = seconds(2);
@@ -447,7 +448,8 @@
         ++x.answered;
         x.base = x.base < 0 ? took : std::min(took, x.base + kBaseCreep * (took - x.base));
         group(x.number).base = x.base;
-        x.lag = x.lag <= 0 ? took : x.lag + kLagWeight * (took - x.lag);
+        const double step = kLagStep * shortest_aim_;
+        x.lag = x.lag <= 0 ? took : x.lag + std::clamp(kLagWeight * (took - x.lag), -step, step);
         judge(x.window, took - x.base, sent);
         judge_own(took - x.base, sent);
     }
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -171,6 +171,17 @@
     EXPECT_EQ(desk.sent_to("b"), "north");
 }
 
+TEST(Route, OneLateAnswerMakesNoCallLate) {
+    // Guards: scrape+rate+leave, r336b4e: bursts of calls refused on sight with circuits free, after one
+    // answer that came seconds late.
+    Desk desk;
+    desk.open(10, 1);
+    desk.offer("prompt", 1).stands("prompt", 1, 20ms);
+    desk.offer("slow", 1).stands("slow", 1, 5000ms);
+    desk.circuits(1, 4, 10).offer("a", 1);
+    EXPECT_EQ(desk.sent_to("a"), "north");
+}
+
 TEST(Route, ACallBehindOneThatWaitsMayGoOverATandem) {
     // Guards: bengal-later quiet, journal 972a05d5: 530 of 730 refused calls had a free tandem, never tried.
     Desk desk;
