After a fault a call tries the tandem once before its processor again

Now the attempt after the first fault goes over the freest tandem, once.

Test: Route.AfterAFaultTheTandemIsTriedOnce.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -242,6 +242,7 @@
     Phase phase = Phase::waiting;
     int service_class = 0, destination = kNowhere, width = 1, advised = kNowhere;
     bool transit = false, may_have_run = false, tandem_tried = false, held_for_number = false;
+    bool faulted = false;  // an attempt was answered with a fault
     bool look = false;     // at it in any case: it has just begun to wait
     bool overdue = false;  // the attempt that is out has had no answer for the shortest aim
     double value = 1.0;    // worth if it stands in time
@@ -360,8 +361,14 @@
         Exchange* direct = in_service(call.destination);
         if (!direct && !s_.pools) return false;
         Group& own = group(call.destination);
+        // Guards against a processor that answers most set-ups with a fault: a call spent all its attempts
+        // there within a quarter of a second. After the first fault the tandem is tried, if it can be. May
+        // harm where the call itself is at fault: it crosses three processors.
+        const bool round = call.faulted && !call.transit && !call.tandem_tried && !s_.pools && direct &&
+                           !late(call) && may_send(*direct) && !pressed(*direct) && freest_tandem(call);
         const int kept = late(call) ? late_reserve(own) : call.transit ? reserve(own) : 0;
-        if (direct && skilled(call, call.destination) && !behind && own.has_above(kept, call.width)) {
+        if (!round && direct && skilled(call, call.destination) && !behind &&
+            own.has_above(kept, call.width)) {
             if (!may_send(*direct) || (late(call) && pressed(*direct))) return false;
             send(call, *direct);
             return true;
@@ -831,6 +838,7 @@
                            s_.classes[static_cast<std::size_t>(call.service_class)].repeat == Repeat::safe;
         if (call.transit || !again || call.attempts >= s_.max_attempts || call.not_before >= call.answer_by)
             return refuse(call, false);
+        call.faulted = call.faulted || (e.outcome == Outcome::failed && e.cause == Cause::none);
         if (e.cause == Cause::number_busy) {
             number_found_busy(call.number);
             call.held_for_number = true;
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -23,6 +23,14 @@
 constexpr milliseconds kFirstWord{2800};
 constexpr milliseconds kRestOfMessage{2800};  // from a message's first byte until its last
 
+// Of a socket that another process has passed on.
+tcp family_of(int descriptor) {
+    sockaddr at{};
+    socklen_t size = sizeof at;
+    ::getsockname(descriptor, &at, &size);
+    return at.sa_family == AF_INET6 ? tcp::v6() : tcp::v4();
+}
+
 }  // namespace
 
 class Clients::Client final : public protocol::CallerSession::Out {
@@ -75,10 +83,7 @@
 }
 
 void Clients::listen_on(int descriptor) {
-    sockaddr at{};
-    socklen_t size = sizeof at;
-    ::getsockname(descriptor, &at, &size);
-    acceptor_.assign(at.sa_family == AF_INET6 ? tcp::v6() : tcp::v4(), descriptor);
+    acceptor_.assign(family_of(descriptor), descriptor);
 }
 
 Clients::~Clients() = default;
@@ -129,12 +134,9 @@
 }
 
 void Clients::adopt(int descriptor, bool has_asked, std::string_view begun) {
-    sockaddr at{};
-    socklen_t size = sizeof at;
-    ::getsockname(descriptor, &at, &size);
     tcp::socket socket(acceptor_.get_executor());
     boost::system::error_code error;
-    socket.assign(at.sa_family == AF_INET6 ? tcp::v6() : tcp::v4(), descriptor, error);
+    socket.assign(family_of(descriptor), descriptor, error);
     if (error) ::close(descriptor);
     if (error) return;
     ++counters_.client_connections_taken_over;
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -182,6 +182,19 @@
     EXPECT_EQ(desk.sent_to("a"), "north");
 }
 
+TEST(Route, AfterAFaultTheTandemIsTriedOnce) {
+    // Guards: upgrade+scrape seed 25, journal fcff0b40: five attempts at one faulty processor within 0.25 s.
+    Desk desk;
+    desk.open(10);
+    desk.offer("a", 1).ended("a", 1, Outcome::failed);
+    ASSERT_EQ(desk.sent("a").size(), 2u);
+    EXPECT_EQ(desk.sent_to("a"), "east");
+    desk.ended("a", 2, Outcome::failed);
+    EXPECT_EQ(desk.sent_to("a"), "north");
+    desk.offer("busy", 1).ended("busy", 1, Outcome::failed, Cause::number_busy).pass(1100ms);
+    EXPECT_EQ(desk.sent_to("busy"), "north");  // another way leads to the same number
+}
+
 TEST(Route, ACallBehindOneThatWaitsMayGoOverATandem) {
     // Guards: bengal-later quiet, journal 972a05d5: 530 of 730 refused calls had a free tandem, never tried.
     Desk desk;
--- a/tests/net/operations_test.cpp
+++ b/tests/net/operations_test.cpp
@@ -230,6 +230,30 @@
     CHECK(second.hear().call == kTwo);
 }
 
+// The configuration of the new process is old, and the feed says nothing to it at first.
+void a_new_process_says_yes_on_a_fresh_list(const char* path) {
+    Folder folder;
+    Site site(path, folder.path);
+    folder.socket = own_address() + ':' + std::to_string(site.port);
+    Listener second, third;
+    site.feed.say(event(2, false, server(2, second.address())) + "\n");
+    Peer old_second = second.accept();
+    old_second.say(group("x0:9;x1:9"));
+
+    Next next(path, site, folder);
+    next.at_switch.say(group("x0:9;x1:9"));
+    Peer at_second = second.accept();  // it knows what the old one knows
+    at_second.say(group("x0:9;x1:9"));
+    CHECK(has(next.feed.line(), "SUB "));
+    Peer again = site.feed_at.accept();  // it asks once more
+    CHECK(again.line() == "SUB 2\n");
+    again.say(event(3, false, server(3, third.address())) + "\n");
+    Peer at_third = third.accept();
+    at_third.say(group("x0:9;x1:9"));
+    while (!says_yes(next.desk, "GET /ready")) usleep(5000);
+    CHECK(has(operators(next.desk, "GET /metrics"), "app.targets:3|g"));
+}
+
 }  // namespace
 
 int main(int count, char** arguments) {
@@ -239,4 +263,5 @@
     a_drain_sends_callers_away(arguments[1]);
     an_upgrade_loses_nothing(arguments[1]);
     a_successor_that_dies_changes_nothing(arguments[1]);
+    a_new_process_says_yes_on_a_fresh_list(arguments[1]);
 }
