--- a/src/main.cpp
+++ b/src/main.cpp
@@ -55,7 +55,8 @@
 class Program final : public protocol::OperatorEvents, public net::Handover::Process {
    public:
     Program(asio::io_context& io, const config::Config& config)
-        : listen_(config.listen),
+        : name_(config.name),
+          listen_(config.listen),
           time_to_end_(config.time_to_end()),
           time_to_end_superseded_(config.time_to_end_superseded()),
           servers_(io, config.net.connect_time_out, counters_),
@@ -88,7 +89,9 @@
         }
         net::spawn(io, watch_signals());
         feed_.start();
-        if (!handover_.find_predecessor()) {
+        if (handover_.find_predecessor()) {
+            std::cerr << name_ << ": another process serves, getting ready to take over" << std::endl;
+        } else {
             take_over();
             handover_.claim();
         }
@@ -152,6 +155,7 @@
         if (clients_.listener() < 0) clients_.listen(*net::to_endpoint(listen_));
         in_charge_ = true;
         clients_.start();
+        std::cerr << name_ << ": listening on " << listen_ << std::endl;
     }
     void take_caller(net::Descriptor connection, bool has_asked, std::string_view begun) override {
         clients_.adopt(connection.release(), has_asked, begun);
@@ -264,7 +268,7 @@
         static_cast<asio::io_context&>(stop_tick_.get_executor().context()).stop();
     }
 
-    std::string listen_;
+    std::string name_, listen_;
     Duration time_to_end_, time_to_end_superseded_;
     UnixClock clock_;
     Instant started_ = clock_.now();
@@ -291,7 +295,6 @@
     const config::Config config = load();
     asio::io_context io(1);
     Program program(io, config);
-    std::cerr << config.name << ": listening on " << config.listen << std::endl;
     io.run();
     std::cerr << program.counters() << std::endl;
     return 0;
--- a/src/net/feed.hpp
+++ b/src/net/feed.hpp
@@ -19,8 +19,8 @@
     void start();
     void stop();
     std::int64_t last() const { return session_.last(); }
-    // It has told something since its start here, so that what it told before is known.
-    bool has_spoken() const { return spoken_; }
+    // It has told something since its start here, so that what it told before is known; or there is none.
+    bool has_spoken() const { return spoken_ || !at_; }
 
     // Follows the feed at another address from now on, behind the last event that is known.
     void move(std::optional<tcp::endpoint> to);
--- a/tests/net/operations_test.cpp
+++ b/tests/net/operations_test.cpp
@@ -5,6 +5,7 @@
 #include <optional>
 
 #include "loopback.hpp"
+#include "net/feed.hpp"
 
 using namespace nettlestall::test;
 using nettlestall::CallId;
@@ -254,6 +255,36 @@
     CHECK(has(operators(next.desk, "GET /metrics"), "app.targets:3|g"));
 }
 
+// While the old one still holds connections, the new one has only the rest of the places that are for
+// callers.
+void two_processes_keep_to_one_cap(const char* path) {
+    Folder folder;
+    Site site(path, folder.path);  // 40 descriptors: 20 callers
+    folder.socket = own_address() + ':' + std::to_string(site.port);
+    std::vector<Peer> open, more;
+    for (int i = 0; i < 15; ++i) {
+        open.push_back(Peer::connect(site.port));
+        open.back().say(set_up("00000000000000" + std::to_string(10 + i), 1, 20'000));
+    }
+    while (!has(operators(site.desk, "GET /metrics"), "concurrent:15|g")) usleep(5000);
+    Next next(path, site, folder);
+    next.prepare();
+    for (int i = 0; i < 30; ++i) {
+        more.push_back(Peer::connect(site.port));
+        CHECK(test(more.back()).cause == 1);
+    }
+    for (int i = 0; i < 25; ++i) CHECK(more[static_cast<std::size_t>(i)].closed_by_far_end());
+    CHECK(test(more.back()).cause == 1);
+}
+
+void a_process_without_a_feed_does_not_wait_for_it() {
+    boost::asio::io_context io;
+    nettlestall::Counters counters;
+    const nettlestall::net::Feed none(
+        io, std::nullopt, 0, [](const nettlestall::ListEvent&) {}, 1000, counters);
+    CHECK(none.has_spoken());
+}
+
 }  // namespace
 
 int main(int count, char** arguments) {
@@ -264,4 +295,6 @@
     an_upgrade_loses_nothing(arguments[1]);
     a_successor_that_dies_changes_nothing(arguments[1]);
     a_new_process_says_yes_on_a_fresh_list(arguments[1]);
+    two_processes_keep_to_one_cap(arguments[1]);
+    a_process_without_a_feed_does_not_wait_for_it();
 }
