Trunk signalling between hubs: circuits, glare, audits and recovery, with a lab

Need: where two hubs signal to each other directly, nothing decides who loses when both seize a circuit. Change: src/trunk holds the procedures of one end of a circuit group as pure parts (circuits, selection, glare, audit, recovery, group), the numbered link and a front for the call table; src/lab plays them on a virtual clock; the call table has a room of its own, src/calls. The module knows ends that only end calls. Nothing of it is on.

--- a/include/nettlestall/call_control.hpp
+++ b/include/nettlestall/call_control.hpp
@@ -159,6 +159,7 @@
     std::string zone{};
     std::string kind{};
     double size = 1.0;
+    bool lines_only = false;  // it ends calls and never passes them on: no tandem
 };
 
 enum class ListKind { changes, complete, remembered, failed };
--- a/src/net/gatekeeper.cpp
+++ b/src/calls/gatekeeper.cpp
@@ -1,9 +1,9 @@
-#include "net/gatekeeper.hpp"
+#include "calls/gatekeeper.hpp"
 
 #include <algorithm>
 #include <utility>
 
-namespace nettlestall::net {
+namespace nettlestall::calls {
 namespace {
 
 using std::chrono::milliseconds;
@@ -141,7 +141,15 @@
     ++call.attempts;
     ++counters_.attempts;
     call.time_out = schedule(now + wait, AttemptTimeOut{action.call, call.attempts});
-    switches_.set_up(call.at, {action.call, call.service_class, call.number, call.description, wait});
+    switches_.set_up(call.at, {.call = action.call,
+                               .service_class = call.service_class,
+                               .number = call.number,
+                               .description = call.description,
+                               .wait = wait,
+                               .destination = call.destination,
+                               .width = call.width,
+                               .again = call.again,
+                               .redial = call.redial});
 }
 
 void Gatekeeper::act(const Refuse& action) {
@@ -206,6 +214,32 @@
     call.number.clear();
 }
 
+const ExchangeId* Gatekeeper::whereabouts(const CallId& call) const {
+    const auto at = calls_.find(call);
+    static const ExchangeId kNone;
+    if (at == calls_.end()) return nullptr;
+    return at->second.phase == Phase::waiting ? &kNone : &at->second.at;
+}
+
+std::string_view Gatekeeper::origin_of(const CallId& call) const {
+    const auto at = calls_.find(call);
+    return at == calls_.end() ? std::string_view{} : std::string_view(at->second.origin);
+}
+
+std::vector<CallId> Gatekeeper::calls_at(const ExchangeId& exchange) const {
+    std::vector<CallId> found;
+    for (const auto& [id, call] : calls_)
+        if (call.phase != Phase::waiting && call.at == exchange) found.push_back(id);
+    return found;
+}
+
+std::vector<CallId> Gatekeeper::calls_from(const CallerLink& link) const {
+    std::vector<CallId> found;
+    for (const auto& [id, call] : calls_)
+        if (call.link == &link) found.push_back(id);
+    return found;
+}
+
 // ---- Callers ---------------------------------------------------------------------------------------
 
 void Gatekeeper::offered(CallerLink& link, const Offer& offer) {
@@ -236,6 +270,9 @@
     call.origin = link.origin();
     call.destination = offer.destination;
     call.transit = offer.transit;
+    call.again = offer.again;
+    call.redial = offer.redial;
+    call.width = offer.width;
     call.service_class = offer.service_class;
     call.number = offer.number;
     call.description = std::make_shared<const std::string>(offer.description);
@@ -497,7 +534,8 @@
     tell(AttemptEnded{.call = id, .attempt = call.attempts - 1, .exchange = call.at, .final = true});
 }
 
-void Gatekeeper::take_standing(const ExchangeId& at, const CallId& id, std::string_view origin) {
+void Gatekeeper::take_standing(const ExchangeId& at, const CallId& id, std::string_view origin,
+                               CallerLink* link) {
     if (successor_) return successor_->stands(at, id, origin);  // upgraded again meanwhile
     const auto [entry, fresh] = calls_.try_emplace(id);
     if (!fresh) return;
@@ -506,6 +544,8 @@
     call.phase = Phase::standing;
     call.at = at;
     call.origin = origin;
+    call.link = link;
+    if (link) ++link->use.standing;
     call.sent = time_();
     call.attempts = 1;
     // The machine has gone, as this process knows already: the call was cut with it.
@@ -544,4 +584,4 @@
     std::erase_if(exchanges_, [](const auto& known) { return known.second.state == ExchangeState::gone; });
 }
 
-}  // namespace nettlestall::net
+}  // namespace nettlestall::calls
--- a/src/net/gatekeeper.hpp
+++ b/src/calls/gatekeeper.hpp
@@ -12,12 +12,12 @@
 #include <variant>
 #include <vector>
 
+#include "calls/signals.hpp"
 #include "counters.hpp"
-#include "protocol/signals.hpp"
 
-namespace nettlestall::net {
+namespace nettlestall::calls {
 
-class Gatekeeper final : public CallerEvents, public SwitchEvents {
+class Gatekeeper final : public CallerEvents, public SwitchEvents, public CallTable {
    public:
     using Time = std::function<Instant()>;
 
@@ -49,7 +49,9 @@
     // what it took. Its front tests pass to the end, for the front sees one gatekeeper. Null: no more.
     void give_way_to(Successor* successor);
     // What the process before this one passes on.
-    void take_standing(const ExchangeId& at, const CallId& call, std::string_view origin);
+    // `link`: where its release goes, if it is not a caller's connection.
+    void take_standing(const ExchangeId& at, const CallId& call, std::string_view origin,
+                       CallerLink* link = nullptr);
     void take_release(const CallId& call);
 
     std::size_t unanswered() const { return unanswered_; }
@@ -78,6 +80,11 @@
     void group_state(const ExchangeId& at, const LoadReport& load) override;
     void process_dead(const ExchangeId& at) override;
 
+    const ExchangeId* whereabouts(const CallId& call) const override;
+    std::string_view origin_of(const CallId& call) const override;
+    std::vector<CallId> calls_at(const ExchangeId& at) const override;
+    std::vector<CallId> calls_from(const CallerLink& link) const override;
+
    private:
     enum class Phase { waiting, out, standing };
 
@@ -98,8 +105,8 @@
         CallerLink* link = nullptr;  // the connection that it came on, while that is open
         std::string origin;          // of that connection
         Phase phase = Phase::waiting;
-        bool transit = false;
-        int destination = kNowhere;
+        bool transit = false, again = false, redial = false;
+        int destination = kNowhere, width = 1;
         std::string service_class, number;
         Description description;
         int attempts = 0;
@@ -191,4 +198,4 @@
     Instant end_ = Instant::max();
 };
 
-}  // namespace nettlestall::net
+}  // namespace nettlestall::calls
--- a/src/protocol/signals.hpp
+++ b/src/calls/signals.hpp
@@ -66,6 +66,10 @@
     std::string number{};
     Description description{};
     Duration wait{};
+    // For who signals on to a further hub; a carrier switch finds its way by the number.
+    int destination = kNowhere;
+    int width = 1;
+    bool again = false, redial = false;
 };
 
 class Switches {
@@ -90,6 +94,21 @@
     ~SwitchEvents() = default;
 };
 
+// ---- The call table, looked into ----------------------------------------------------------------
+
+// What a front asks of the call table, to compare it with what it holds for calls itself.
+class CallTable {
+   public:
+    // Null: no such call. Empty: it is at no exchange just now.
+    virtual const ExchangeId* whereabouts(const CallId& call) const = 0;
+    virtual std::string_view origin_of(const CallId& call) const = 0;
+    virtual std::vector<CallId> calls_at(const ExchangeId& at) const = 0;
+    virtual std::vector<CallId> calls_from(const CallerLink& link) const = 0;
+
+   protected:
+    ~CallTable() = default;
+};
+
 // ---- The process that takes over --------------------------------------------------------------------
 
 // Calls that stand are its own, whichever process they were set up by.
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -205,6 +205,7 @@
     int number = kNowhere;
     ExchangeState state = ExchangeState::ready;
     Instant started{};
+    bool lines_only = false;
 
     Window window{0, kWindowStart, kWindowMost};
     double lag = 0, base = -1;  // seconds: running mean, and the least seen
@@ -400,7 +401,9 @@
             if (room <= most) continue;
             const auto back = turned_back_.find({number, call.destination});
             if (back != turned_back_.end() && now_ < back->second.until) continue;
-            if (!g.in_service || !may_send(*g.in_service) || pressed(*g.in_service)) continue;
+            if (!g.in_service || g.in_service->lines_only || !may_send(*g.in_service) ||
+                pressed(*g.in_service))
+                continue;
             best = g.in_service;
             most = room;
         }
@@ -926,6 +929,7 @@
             x.number = entry.number;
             x.state = entry.state;
             x.started = entry.started;
+            x.lines_only = entry.lines_only;
         }
         std::erase_if(exchanges_, [](const auto& at) {
             return at.second.state == ExchangeState::gone && at.second.window.out <= 0;
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "config/settings.hpp"
-#include "protocol/signals.hpp"
+#include "calls/signals.hpp"
 
 namespace nettlestall::config {
 
--- /dev/null
+++ b/src/lab/main.cpp
@@ -0,0 +1,96 @@
+// The rig: experiments on a virtual clock. The last line of an experiment's output is one JSON object; one
+// seed gives the same bytes.
+#include <CLI/CLI.hpp>
+#include <cstdio>
+#include <iostream>
+
+#include "lab/glare.hpp"
+#include "lab/search.hpp"
+
+namespace {
+
+void add_glare(CLI::App& app) {
+    using namespace nettlestall::lab;
+    auto settings = std::make_shared<GlareSettings>();
+    auto json = std::make_shared<bool>(false);
+    auto samples = std::make_shared<bool>(false);
+    CLI::App* glare = app.add_subcommand("glare", "Hubs joined by circuit groups, over hours of faults");
+    glare->add_option("--seed", settings->seed, "Of all that chance decides")->capture_default_str();
+    glare->add_option("--hours", settings->hours, "Of simulated time")
+        ->check(CLI::Range(0.01, 1000.0))
+        ->capture_default_str();
+    glare->add_option("--hubs", settings->hubs, "Joined each with each")
+        ->check(CLI::Range(2, 20))
+        ->capture_default_str();
+    glare->add_option("--circuits", settings->circuits, "Of each group")
+        ->check(CLI::Range(4, 2048))
+        ->capture_default_str();
+    glare->add_option("--load", settings->load, "Offered, as a share of the circuits")
+        ->check(CLI::Range(0.01, 5.0))
+        ->capture_default_str();
+    glare->add_flag("!--no-parity", settings->parity, "Baseline: hunt from the lowest circuit at both ends");
+    glare->add_flag("!--no-audits", settings->audits, "Baseline: no audits");
+    glare->add_flag("!--no-ledgers", settings->ledgers, "No hub remembers anything after a crash");
+    glare->add_flag("!--no-faults", settings->faults, "Traffic alone");
+    glare->add_flag("--json", *json, "Only the JSON object");
+    glare->add_flag("--samples", *samples, "Lines of hours, stuck and busy shares, every ten minutes");
+    glare->callback([settings, json, samples] {
+        const GlareResult result = run_glare(*settings);
+        if (*samples)
+            for (const auto& s : result.samples) std::printf("%.3f %.4f %.4f\n", s.hours, s.stuck, s.busy);
+        if (!*json && !*samples)
+            std::printf("%llu calls, %llu stood; %llu glares; %llu circuits stuck at the end\n",
+                        static_cast<unsigned long long>(result.calls),
+                        static_cast<unsigned long long>(result.stood),
+                        static_cast<unsigned long long>(result.glares),
+                        static_cast<unsigned long long>(result.stuck_circuits));
+        std::printf("%s\n", to_json(*settings, result).c_str());
+    });
+}
+
+void add_search(CLI::App& app) {
+    using namespace nettlestall::lab;
+    auto settings = std::make_shared<SearchSettings>();
+    CLI::App* search = app.add_subcommand("search", "All states that two ends of a group can reach together");
+    search->add_option("--circuits", settings->circuits)->check(CLI::Range(1, 8))->capture_default_str();
+    search->add_option("--calls", settings->calls, "That each end may place")->capture_default_str();
+    search->add_option("--breaks", settings->breaks, "After which the link starts anew")
+        ->capture_default_str();
+    search->add_option("--resumes", settings->resumes, "After which it goes on")->capture_default_str();
+    search->add_option("--crashes", settings->crashes)->capture_default_str();
+    search->add_option("--losses", settings->losses, "Calls that one end forgets")->capture_default_str();
+    search->add_option("--repeats", settings->repeats, "Messages that are heard twice")
+        ->capture_default_str();
+    search->add_option("--most-states", settings->most_states)->capture_default_str();
+    search->add_flag("--wide", settings->wide, "Calls take two circuits");
+    search->add_flag("!--no-ledger", settings->ledger, "A crashed end remembers nothing");
+    search->add_option("--broken", settings->broken, "A rule to break on purpose")
+        ->check(CLI::IsMember({"", "glare", "audit"}));
+    search->callback([settings] {
+        const SearchResult result = nettlestall::lab::search(*settings);
+        for (std::size_t i = 0; i < result.trail.size() && !result.wrong.empty(); ++i)
+            std::printf("%3zu  %s\n", i + 1, result.trail[i].c_str());
+        if (!result.wrong.empty()) std::printf("     %s\n", result.wrong.c_str());
+        std::printf(
+            "{\"experiment\":\"search\",\"states\":%llu,\"transitions\":%llu,\"complete\":%s,\"wrong\":\"%"
+            "s\"}\n",
+            static_cast<unsigned long long>(result.states),
+            static_cast<unsigned long long>(result.transitions), result.complete ? "true" : "false",
+            result.wrong.c_str());
+    });
+}
+
+}  // namespace
+
+int main(int count, char** words) {
+    CLI::App app("Experiments of the gatekeeper on a virtual clock", "nettlestall_lab");
+    app.require_subcommand(1);
+    add_glare(app);
+    add_search(app);
+    try {
+        app.parse(count, words);
+    } catch (const CLI::ParseError& problem) {
+        return app.exit(problem) == 0 ? 0 : 2;
+    }
+    return 0;
+}
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -10,7 +10,7 @@
 #include "net/clients.hpp"
 #include "net/feed.hpp"
 #include "net/figures.hpp"
-#include "net/gatekeeper.hpp"
+#include "calls/gatekeeper.hpp"
 #include "net/handover.hpp"
 #include "net/operators.hpp"
 #include "net/servers.hpp"
@@ -274,7 +274,7 @@
     Instant started_ = clock_.now();
     Counters counters_;
     net::Servers servers_;
-    net::Gatekeeper gatekeeper_;
+    calls::Gatekeeper gatekeeper_;
     net::Clients clients_;
     net::Feed feed_;
     net::Handover handover_;
--- a/src/net/figures.cpp
+++ b/src/net/figures.cpp
@@ -4,13 +4,13 @@
 
 namespace nettlestall::net {
 
-std::string figures(const Gatekeeper& gatekeeper, const Counters& counters) {
+std::string figures(const calls::Gatekeeper& gatekeeper, const Counters& counters) {
     std::string text;
     const auto line = [&text](std::string_view name, std::uint64_t value, char kind) {
         text.append("app.").append(name).append(":").append(std::to_string(value)).append("|");
         text.append(1, kind).append("\n");
     };
-    for (const Gatekeeper::Replies& replies : gatekeeper.replies()) {
+    for (const calls::Gatekeeper::Replies& replies : gatekeeper.replies()) {
         const std::string of = "replies." + replies.service_class;
         line(of + ".success", replies.served, 'c');
         line(of + ".overload", replies.refused, 'c');
--- a/src/net/figures.hpp
+++ b/src/net/figures.hpp
@@ -4,10 +4,10 @@
 
 #include <string>
 
-#include "net/gatekeeper.hpp"
+#include "calls/gatekeeper.hpp"
 
 namespace nettlestall::net {
 
-std::string figures(const Gatekeeper& gatekeeper, const Counters& counters);
+std::string figures(const calls::Gatekeeper& gatekeeper, const Counters& counters);
 
 }  // namespace nettlestall::net
--- a/src/net/handover.hpp
+++ b/src/net/handover.hpp
@@ -9,7 +9,7 @@
 #include "counters.hpp"
 #include "net/connection.hpp"
 #include "protocol/handover.hpp"
-#include "protocol/signals.hpp"
+#include "calls/signals.hpp"
 
 namespace nettlestall::net {
 
--- a/src/net/servers.hpp
+++ b/src/net/servers.hpp
@@ -5,7 +5,7 @@
 #include <map>
 
 #include "net/connection.hpp"
-#include "protocol/signals.hpp"
+#include "calls/signals.hpp"
 #include "protocol/switches.hpp"
 
 namespace nettlestall::net {
--- a/src/protocol/feed.hpp
+++ b/src/protocol/feed.hpp
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "config/json.hpp"
-#include "protocol/signals.hpp"
+#include "calls/signals.hpp"
 
 namespace nettlestall::protocol {
 
--- a/src/protocol/switches.hpp
+++ b/src/protocol/switches.hpp
@@ -4,7 +4,7 @@
 
 #include "counters.hpp"
 #include "protocol/codec.hpp"
-#include "protocol/signals.hpp"
+#include "calls/signals.hpp"
 
 namespace nettlestall::protocol {
 
--- /dev/null
+++ b/src/trunk/front.cpp
@@ -0,0 +1,410 @@
+#include "trunk/front.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace nettlestall::trunk {
+namespace {
+
+constexpr Duration kShortestWait = std::chrono::milliseconds(1);
+
+// What an end of a set-up of ours means to the call table.
+std::pair<Outcome, Cause> meaning(Reason reason, bool stood, bool direct) {
+    if (stood) return {reason == Reason::normal ? Outcome::ended : Outcome::reset, Cause::none};
+    switch (reason) {
+        case Reason::glare:
+        case Reason::not_idle:
+        case Reason::unusable:
+            return {Outcome::turned_back, Cause::no_circuit};  // it never ran
+        case Reason::refused:
+            return {Outcome::turned_back, direct ? Cause::processor_full : Cause::by_tandem};
+        case Reason::normal:
+        case Reason::failed:
+            return {Outcome::failed, Cause::none};
+        case Reason::cut:
+        case Reason::link_lost:
+        case Reason::reset:
+            break;
+    }
+    return {Outcome::reset, Cause::none};
+}
+
+Reason reason_of(Ending ending) {
+    switch (ending) {
+        case Ending::refused:
+            return Reason::refused;
+        case Ending::failed:
+            return Reason::failed;
+        case Ending::ended:
+            return Reason::normal;
+        case Ending::cut:
+            break;
+    }
+    return Reason::cut;
+}
+
+}  // namespace
+
+// ---- One group ---------------------------------------------------------------------------------------
+
+Front::Trunk::Trunk(Front& front, const GroupSettings& settings)
+    : front_(front),
+      settings_(settings),
+      origin_("trunk:" + std::to_string(settings.id)),
+      group_(settings.rules, front.life_),
+      session_({settings.rules.ends, settings.id, settings.rules.circuits}, front.life_, *this) {}
+
+CallRef Front::Trunk::ref_of(const CallId& call) const {
+    for (const auto* of : {&outgoing_, &incoming_})
+        if (const auto at = of->find(call); at != of->end()) return at->second;
+    return kNoCall;
+}
+
+void Front::Trunk::carry_out(Effects effects) {
+    for (const Effect& effect : effects) {
+        if (const auto* send = std::get_if<Send>(&effect)) {
+            session_.send(send->message);
+        } else if (const auto* stands = std::get_if<Remember>(&effect)) {
+            if (!front_.ledger_) continue;
+            LedgerCall call{settings_.id, stands->claim, stands->call, stands->outgoing, {}, {}};
+            const ExchangeId* at = front_.table_.whereabouts(stands->call);
+            if (!stands->outgoing && at) call.at = *at;
+            if (stands->outgoing) call.origin = front_.table_.origin_of(stands->call);
+            front_.ledger_->remember(call);
+        } else if (const auto* over = std::get_if<Forget>(&effect)) {
+            if (front_.ledger_) front_.ledger_->forget(settings_.id, over->ref);
+        } else if (const auto* blocked = std::get_if<RememberBlocked>(&effect)) {
+            if (front_.ledger_)
+                front_.ledger_->remember_blocked(settings_.id, blocked->circuit, blocked->blocking);
+        } else if (std::holds_alternative<Renew>(effect)) {
+            session_.renew();
+        }
+    }
+    for (const Effect& effect : effects) {
+        if (const auto* offered = std::get_if<Offered>(&effect)) tell(*offered);
+        if (const auto* answered = std::get_if<Answered>(&effect)) tell(*answered);
+        if (const auto* ended = std::get_if<Ended>(&effect)) tell(*ended);
+        if (const auto* freed = std::get_if<Freed>(&effect); freed && front_.freed_)
+            front_.freed_(*this, *freed);
+    }
+    // Too much was unconfirmed: the session has given its connection up.
+    if (group_.in_service() && !session_.connected_now()) {
+        Effects down;
+        group_.link_down(front_.time_(), down);
+        return carry_out(std::move(down));
+    }
+    report();
+    if (session_.has_output() && front_.output_) front_.output_(*this);
+    if (front_.earlier_) front_.earlier_(group_.next_due());
+}
+
+void Front::Trunk::report() {
+    const int free = group_.free();
+    if (free == told_free_ || (told_free_ < 0 && !group_.in_service())) return;
+    told_free_ = free;
+    LoadReport load;
+    load.free_circuits = free;
+    load.group_size = group_.circuits().size();
+    front_.switches_.group_state(settings_.exchange, load);
+}
+
+void Front::Trunk::tell(const Offered& effect) {
+    if (!group_.leg(effect.ref)) return;
+    const CallData& data = effect.data;
+    // The far end has begun it again, under another reference: what it began before is over there.
+    if (const auto before = incoming_.find(data.call); before != incoming_.end()) {
+        const CallRef ref = before->second;
+        incoming_.erase(before);
+        front_.callers_.released(*this, data.call);
+        Effects effects;
+        group_.release(front_.time_(), ref, Reason::normal, effects);
+        carry_out(std::move(effects));
+    }
+    ++front_.counts_.offered;
+    incoming_[data.call] = effect.ref;
+    Offer offer;
+    offer.call = data.call;
+    offer.service_class = data.service_class;
+    offer.number = data.number;
+    offer.description = data.description;
+    offer.patience = std::max(kShortestWait, data.wait);
+    offer.destination = data.destination;
+    offer.width = effect.width;
+    offer.via = data.via;
+    offer.transit = true;
+    offer.again = data.again;
+    offer.redial = data.redial;
+    front_.callers_.offered(*this, offer);
+}
+
+void Front::Trunk::tell(const Answered& effect) {
+    const auto at = outgoing_.find(effect.call);
+    if (at == outgoing_.end() || at->second != effect.ref) return;
+    front_.switches_.stands(settings_.exchange, effect.call, effect.description);
+}
+
+void Front::Trunk::tell(const Ended& effect) {
+    auto& of = effect.outgoing ? outgoing_ : incoming_;
+    const auto at = of.find(effect.call);
+    if (at == of.end() || at->second != effect.ref) return;
+    of.erase(at);
+    if (!effect.outgoing) return front_.callers_.released(*this, effect.call);
+    // Of two hubs the far one knows best whether it was the call's destination; here any refusal is its own.
+    const auto [outcome, cause] = meaning(effect.reason, effect.stood, true);
+    front_.switches_.ended(settings_.exchange, effect.call, outcome, cause, {});
+}
+
+void Front::Trunk::set_up(const Forward& forward) {
+    CallData data{.call = forward.call,
+                  .service_class = forward.service_class,
+                  .number = forward.number,
+                  .description = forward.description ? *forward.description : std::string(),
+                  .destination = forward.destination,
+                  .via = front_.own_number_,
+                  .wait = forward.wait,
+                  .again = forward.again,
+                  .redial = forward.redial};
+    Effects effects;
+    const CallRef ref = group_.set_up(front_.time_(), std::move(data), forward.width, effects);
+    if (ref == kNoCall)
+        return front_.switches_.ended(settings_.exchange, forward.call, Outcome::turned_back,
+                                      Cause::no_circuit, {});
+    outgoing_[forward.call] = ref;
+    carry_out(std::move(effects));
+}
+
+void Front::Trunk::let_go(const CallId& call, Reason reason) {
+    const auto at = outgoing_.find(call);
+    if (at == outgoing_.end()) return;
+    const CallRef ref = at->second;
+    outgoing_.erase(at);
+    Effects effects;
+    group_.release(front_.time_(), ref, reason, effects);
+    carry_out(std::move(effects));
+}
+
+void Front::Trunk::answer(const CallId& call, Description description) {
+    const auto at = incoming_.find(call);
+    if (at == incoming_.end()) return;
+    Effects effects;
+    group_.answer(front_.time_(), at->second, *description, effects);
+    carry_out(std::move(effects));
+}
+
+void Front::Trunk::release(const CallId& call, Ending ending) {
+    const auto at = incoming_.find(call);
+    if (at == incoming_.end()) return;
+    const CallRef ref = at->second;
+    incoming_.erase(at);
+    Effects effects;
+    group_.release(front_.time_(), ref, reason_of(ending), effects);
+    carry_out(std::move(effects));
+}
+
+// ---- Its link ----------------------------------------------------------------------------------------
+
+void Front::Trunk::connected() {
+    session_.connected();
+    if (front_.output_) front_.output_(*this);
+}
+
+bool Front::Trunk::fed(std::string_view bytes) {
+    const bool sound = session_.fed(bytes);
+    if (session_.has_output() && front_.output_) front_.output_(*this);
+    return sound && session_.connected_now();
+}
+
+void Front::Trunk::disconnected() {
+    session_.disconnected();
+    Effects effects;
+    group_.link_down(front_.time_(), effects);
+    carry_out(std::move(effects));
+}
+
+void Front::Trunk::beat() {
+    session_.beat();
+    if (session_.has_output() && front_.output_) front_.output_(*this);
+}
+
+void Front::Trunk::link_up(bool resumed) {
+    Effects effects;
+    group_.link_up(front_.time_(), resumed, effects);
+    carry_out(std::move(effects));
+}
+
+const char* Front::Trunk::received(const Message& message) {
+    Effects effects;
+    const char* wrong = group_.receive(front_.time_(), message, effects);
+    carry_out(std::move(effects));
+    return wrong;
+}
+
+void Front::Trunk::run_due() {
+    const Instant now = front_.time_();
+    Effects effects;
+    group_.run_due(now, effects);
+    if (!effects.empty()) carry_out(std::move(effects));
+    const AuditRules& audit = settings_.rules.audit;
+    if (audit.on && now - swept_ >= audit.every) {
+        swept_ = now;
+        sweep();
+    }
+}
+
+// Guards against what an audit of the far end can't see: this end's own table and group disagree.
+void Front::Trunk::sweep() {
+    std::vector<std::pair<CallId, CallRef>> orphans;
+    for (const auto& [ref, leg] : group_.legs()) {
+        if (leg.state == LegState::yielding || leg.state == LegState::releasing) continue;
+        const auto& of = leg.outgoing ? outgoing_ : incoming_;
+        const auto at = of.find(leg.call);
+        const ExchangeId* where = front_.table_.whereabouts(leg.call);
+        const bool known =
+            at != of.end() && at->second == ref && where && (!leg.outgoing || *where == settings_.exchange);
+        if (!known) orphans.emplace_back(leg.call, ref);
+    }
+    for (const auto& [call, ref] : orphans) {
+        ++front_.counts_.orphans;
+        for (auto* of : {&outgoing_, &incoming_})
+            if (const auto at = of->find(call); at != of->end() && at->second == ref) of->erase(at);
+        Effects effects;
+        group_.release(front_.time_(), ref, Reason::cut, effects);
+        carry_out(std::move(effects));
+    }
+    const auto held = [this](const std::map<CallId, CallRef>& of, const CallId& call) {
+        const auto at = of.find(call);
+        return at != of.end() && group_.leg(at->second);
+    };
+    for (const CallId& call : front_.table_.calls_at(settings_.exchange)) {
+        if (held(outgoing_, call)) continue;
+        ++front_.counts_.lost;
+        outgoing_.erase(call);
+        front_.switches_.ended(settings_.exchange, call, Outcome::reset, Cause::none, {});
+    }
+    for (const CallId& call : front_.table_.calls_from(*this)) {
+        if (held(incoming_, call)) continue;
+        ++front_.counts_.lost;
+        incoming_.erase(call);
+        front_.callers_.released(*this, call);
+    }
+}
+
+void Front::Trunk::restore(const LedgerCall& call) {
+    group_.restore(call.claim, call.call, call.outgoing, front_.time_());
+    (call.outgoing ? outgoing_ : incoming_)[call.call] = call.claim.call;
+}
+
+// ---- Operators ---------------------------------------------------------------------------------------
+
+void Front::Trunk::block(const CircuitList& circuits, Blocking blocking) {
+    Effects effects;
+    group_.block(front_.time_(), circuits, blocking, effects);
+    carry_out(std::move(effects));
+}
+
+void Front::Trunk::reset(const CircuitList& circuits) {
+    Effects effects;
+    group_.reset(front_.time_(), circuits, Reason::reset, effects);
+    carry_out(std::move(effects));
+}
+
+void Front::Trunk::audit() {
+    group_.audit_now(front_.time_());
+    swept_ = {};
+    run_due();
+    if (front_.earlier_) front_.earlier_(group_.next_due());
+}
+
+void Front::Trunk::take_times(const GroupRules& rules) {
+    settings_.rules = rules;
+    group_.take_times(rules);
+    if (front_.earlier_) front_.earlier_(group_.next_due());
+}
+
+void Front::Trunk::lose_memory_of(CallRef ref) {
+    group_.lose_memory_of(ref);
+    report();
+}
+
+// ---- All groups --------------------------------------------------------------------------------------
+
+Front::Front(int own_number, std::uint32_t life, Time time, CallerEvents& callers, SwitchEvents& switches,
+             const CallTable& table, Ledger* ledger)
+    : own_number_(own_number),
+      life_(life),
+      time_(std::move(time)),
+      callers_(callers),
+      switches_(switches),
+      table_(table),
+      ledger_(ledger) {}
+
+Front::~Front() = default;
+
+Front::Trunk& Front::add(const GroupSettings& settings) {
+    auto& trunk = trunks_[settings.id] = std::make_unique<Trunk>(*this, settings);
+    by_exchange_[settings.exchange] = trunk.get();
+    return *trunk;
+}
+
+std::vector<Front::Trunk*> Front::trunks() const {
+    std::vector<Trunk*> all;
+    for (const auto& [id, trunk] : trunks_) all.push_back(trunk.get());
+    return all;
+}
+
+Front::Trunk* Front::find(std::uint32_t group) const {
+    const auto at = trunks_.find(group);
+    return at == trunks_.end() ? nullptr : at->second.get();
+}
+
+ListEvent Front::with_hubs(ListEvent event) const {
+    std::erase_if(event.entries, [this](const ListedExchange& listed) {
+        return by_exchange_.count(listed.entry.exchange) > 0;
+    });
+    if (event.kind == ListKind::changes) return event;
+    for (const auto& [exchange, trunk] : by_exchange_) {
+        ListedExchange& listed = event.entries.emplace_back();
+        listed.entry.exchange = exchange;
+        listed.entry.number = trunk->settings().number;
+        listed.entry.zone = trunk->settings().zone;
+    }
+    return event;
+}
+
+bool Front::restore(const LedgerCall& call,
+                    const std::function<void(const LedgerCall&, CallerLink*)>& tell_table) {
+    Trunk* const trunk = find(call.group);
+    if (!trunk || trunk->ref_of(call.call) != kNoCall) return false;
+    trunk->restore(call);
+    tell_table(call, call.outgoing ? nullptr : static_cast<CallerLink*>(trunk));
+    if (earlier_) earlier_(trunk->group().next_due());
+    return true;
+}
+
+void Front::set_up(const ExchangeId& at, const Forward& forward) {
+    if (const auto trunk = by_exchange_.find(at); trunk != by_exchange_.end()) trunk->second->set_up(forward);
+}
+
+void Front::give_up(const ExchangeId& at, const CallId& call) {
+    if (const auto trunk = by_exchange_.find(at); trunk != by_exchange_.end())
+        trunk->second->let_go(call, Reason::normal);
+}
+
+void Front::release(const ExchangeId& at, const CallId& call) {
+    if (const auto trunk = by_exchange_.find(at); trunk != by_exchange_.end())
+        trunk->second->let_go(call, Reason::normal);
+}
+
+void Front::run_due() {
+    for (const auto& [id, trunk] : trunks_)
+        if (trunk->group().next_due() <= time_()) trunk->run_due();
+    if (earlier_) earlier_(next_due());
+}
+
+Instant Front::next_due() const {
+    Instant due = Instant::max();
+    for (const auto& [id, trunk] : trunks_) due = std::min(due, trunk->group().next_due());
+    return due;
+}
+
+}  // namespace nettlestall::trunk
--- /dev/null
+++ b/src/trunk/front.hpp
@@ -0,0 +1,159 @@
+// The trunk signalling as the call table sees it: groups are exchanges that it sets up to, and the far hubs'
+// calls are offers like any caller's. Keeps which call has which place on which group. Knows no socket and
+// reads no clock: the time comes with `Time`, bytes go through the sessions, and the host wakes it.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "calls/signals.hpp"
+#include "trunk/group.hpp"
+#include "trunk/session.hpp"
+
+namespace nettlestall::trunk {
+
+struct GroupSettings {
+    std::uint32_t id = 0;
+    ExchangeId exchange{};  // the far hub, as the call table knows it
+    int number = kNowhere;  // its exchange number
+    std::string zone{};
+    GroupRules rules{};
+};
+
+// What outlives the process. A call is noted before the far end hears that it stands.
+struct LedgerCall {
+    std::uint32_t group = 0;
+    Claim claim{};
+    CallId call{};
+    bool outgoing = false;
+    ExchangeId at{};       // of an incoming one: where it went on
+    std::string origin{};  // of an outgoing one: of the caller's connection
+    bool operator==(const LedgerCall&) const = default;
+};
+class Ledger {
+   public:
+    virtual ~Ledger() = default;
+    virtual void remember(const LedgerCall& call) = 0;
+    virtual void forget(std::uint32_t group, CallRef call) = 0;
+    virtual void remember_blocked(std::uint32_t group, CircuitNumber circuit, Blocking blocking) = 0;
+};
+
+struct FrontCounts {
+    std::uint64_t offered = 0, orphans = 0, lost = 0;  // orphans, lost: on one side of the table only
+};
+
+class Front final : public Switches {
+   public:
+    using Time = std::function<Instant()>;
+
+    class Trunk;  // one group and its link
+
+    // `life` differs from one start to the next. A null ledger remembers nothing.
+    Front(int own_number, std::uint32_t life, Time time, CallerEvents& callers, SwitchEvents& switches,
+          const CallTable& table, Ledger* ledger);
+    ~Front();
+
+    Trunk& add(const GroupSettings& settings);
+    std::vector<Trunk*> trunks() const;
+    Trunk* find(std::uint32_t group) const;
+
+    // The list with the groups' far hubs in it, whatever it says of them.
+    ListEvent with_hubs(ListEvent event) const;
+
+    // A call of a ledger: the group claims it, and the call table has it again. False: it can't be.
+    bool restore(const LedgerCall& call,
+                 const std::function<void(const LedgerCall&, CallerLink*)>& tell_table);
+
+    void set_up(const ExchangeId& at, const Forward& forward) override;
+    void give_up(const ExchangeId& at, const CallId& call) override;
+    void release(const ExchangeId& at, const CallId& call) override;
+
+    // Whoever runs the timers hears of each earlier moment; whoever writes, of a group with bytes to write.
+    void on_schedule(std::function<void(Instant)> earlier) { earlier_ = std::move(earlier); }
+    void on_output(std::function<void(Trunk&)> output) { output_ = std::move(output); }
+    void on_freed(std::function<void(const Trunk&, const Freed&)> freed) { freed_ = std::move(freed); }
+    void run_due();
+    Instant next_due() const;
+    const FrontCounts& counts() const { return counts_; }
+
+   private:
+    friend class Trunk;
+
+    int own_number_;
+    std::uint32_t life_;
+    Time time_;
+    CallerEvents& callers_;
+    SwitchEvents& switches_;
+    const CallTable& table_;
+    Ledger* ledger_;
+    std::function<void(Instant)> earlier_;
+    std::function<void(Trunk&)> output_;
+    std::function<void(const Trunk&, const Freed&)> freed_;
+    std::map<std::uint32_t, std::unique_ptr<Trunk>> trunks_;
+    std::map<ExchangeId, Trunk*> by_exchange_;
+    FrontCounts counts_;
+};
+
+class Front::Trunk final : public CallerLink, public LinkEvents {
+   public:
+    Trunk(Front& front, const GroupSettings& settings);
+
+    const GroupSettings& settings() const { return settings_; }
+    const Group& group() const { return group_; }
+    const Session& session() const { return session_; }
+    std::string take_output() { return session_.take_output(); }
+
+    // The connection, as its driver sees it. False: it is to be closed once the output is written.
+    void connected();
+    bool fed(std::string_view bytes);
+    void disconnected();
+    void beat();
+
+    // Operators' orders.
+    void block(const CircuitList& circuits, Blocking blocking);
+    void reset(const CircuitList& circuits);
+    void audit();
+    void take_times(const GroupRules& rules);
+    // For tests and the lab: see Group.
+    void lose_memory_of(CallRef ref);
+
+    CallRef ref_of(const CallId& call) const;
+
+    void answer(const CallId& call, Description description) override;
+    void release(const CallId& call, Ending ending) override;
+    std::string_view origin() const override { return origin_; }
+
+    void link_up(bool resumed) override;
+    const char* received(const Message& message) override;
+
+   private:
+    friend class Front;
+
+    void set_up(const Forward& forward);
+    void let_go(const CallId& call, Reason reason);  // of ours
+    void restore(const LedgerCall& call);
+    void sweep();  // what only one of group and call table has
+    void run_due();
+
+    // Carries out effects: what goes to the far end and into the ledger first, in order, and only then what
+    // the call table hears. Guards the order of messages: what the table does in turn comes behind them.
+    void carry_out(Effects effects);
+    void tell(const Offered& effect);
+    void tell(const Answered& effect);
+    void tell(const Ended& effect);
+    void report();  // the group's state, if it has changed
+
+    Front& front_;
+    GroupSettings settings_;
+    std::string origin_;
+    Group group_;
+    Session session_;
+    std::map<CallId, CallRef> outgoing_, incoming_;
+    int told_free_ = -1;
+    Instant swept_{};
+};
+
+}  // namespace nettlestall::trunk
--- a/tests/net/calls_test.cpp
+++ b/tests/net/calls_test.cpp
@@ -5,7 +5,7 @@
 #include <vector>
 
 #include "check.hpp"
-#include "net/gatekeeper.hpp"
+#include "calls/gatekeeper.hpp"
 
 using namespace nettlestall;
 using namespace std::chrono_literals;
@@ -35,7 +35,7 @@
     std::vector<Sent> sent;
     std::vector<std::pair<ExchangeId, CallId>> given_up, released;
     Counters counters;
-    net::Gatekeeper gatekeeper;
+    calls::Gatekeeper gatekeeper;
     Link link;
 
     static Settings settings() {
