Ledgers keep one place a circuit, so that a stale note cuts no live call

Cause: the lab showed live calls cut after a restart: a note that was never taken back claimed a circuit that a later call had, and both were dropped. Change: a ledger has one place for each circuit, and a call counts only if it still holds all of its places.

--- a/src/lab/hub.cpp
+++ b/src/lab/hub.cpp
@@ -231,14 +231,15 @@
     room.free_circuits = room.group_size = kLineCircuits;
     p.gatekeeper.group_state(kLines, room);
     if (with_ledger) {
-        for (const auto& [key, call] : std::map(ledger_.calls))
-            p.front.restore(call, [&p](const trunk::LedgerCall& known, CallerLink* link) {
-                const ExchangeId at =
-                    known.outgoing ? p.front.find(known.group)->settings().exchange : known.at;
-                p.gatekeeper.take_standing(at, known.call, known.origin, link);
-            });
+        std::vector<trunk::LedgerCall> calls;
+        for (const auto& [group, places] : ledger_.places)
+            for (trunk::LedgerCall& call : trunk::whole(places)) calls.push_back(std::move(call));
+        p.front.restore(calls, [&p](const trunk::LedgerCall& known, CallerLink* link) {
+            const ExchangeId at = known.outgoing ? p.front.find(known.group)->settings().exchange : known.at;
+            p.gatekeeper.take_standing(at, known.call, known.origin, link);
+        });
     } else {
-        ledger_.calls.clear();
+        ledger_.places.clear();
         // Callers and lines that stand here have nobody left who would tell them of an end.
         for (auto& [id, call] : truth_.calls)
             if (call.from == settings_.number || call.to == settings_.number) call.damaged = true;
--- a/src/lab/hub.hpp
+++ b/src/lab/hub.hpp
@@ -39,13 +39,18 @@
 // Survives the process, as a disk does.
 class MemoryLedger final : public trunk::Ledger {
    public:
-    void remember(const trunk::LedgerCall& call) override { calls[{call.group, call.claim.call}] = call; }
-    void forget(std::uint32_t group, trunk::CallRef call) override { calls.erase({group, call}); }
+    void remember(const trunk::LedgerCall& call) override {
+        for (const trunk::CircuitNumber n : call.claim.circuits) places[call.group][n] = call;
+    }
+    void forget(std::uint32_t group, const trunk::Claim& claim) override {
+        std::erase_if(places[group],
+                      [&](const auto& place) { return place.second.claim.call == claim.call; });
+    }
     void remember_blocked(std::uint32_t group, trunk::CircuitNumber circuit,
                           trunk::Blocking blocking) override {
         blocked[{group, circuit}] = blocking;
     }
-    std::map<std::pair<std::uint32_t, trunk::CallRef>, trunk::LedgerCall> calls;
+    std::map<std::uint32_t, std::map<trunk::CircuitNumber, trunk::LedgerCall>> places;
     std::map<std::pair<std::uint32_t, trunk::CircuitNumber>, trunk::Blocking> blocked;
 };
 
--- a/src/trunk/circuits.hpp
+++ b/src/trunk/circuits.hpp
@@ -50,8 +50,9 @@
     bool idle() const { return state == CircuitState::idle; }
     // This end awaits the far end's word on it, and lets go by itself if that does not come.
     bool in_between() const {
-        return state == CircuitState::seizing || state == CircuitState::yielding || state == CircuitState::releasing ||
-               state == CircuitState::resetting || state == CircuitState::unsure;
+        return state == CircuitState::seizing || state == CircuitState::yielding ||
+               state == CircuitState::releasing || state == CircuitState::resetting ||
+               state == CircuitState::unsure;
     }
     bool free() const { return idle() && blocked_here == Blocking::none && blocked_there == Blocking::none; }
 };
--- a/src/trunk/front.cpp
+++ b/src/trunk/front.cpp
@@ -72,7 +72,7 @@
             if (stands->outgoing) call.origin = front_.table_.origin_of(stands->call);
             front_.ledger_->remember(call);
         } else if (const auto* over = std::get_if<Forget>(&effect)) {
-            if (front_.ledger_) front_.ledger_->forget(settings_.id, over->ref);
+            if (front_.ledger_) front_.ledger_->forget(settings_.id, over->claim);
         } else if (const auto* blocked = std::get_if<RememberBlocked>(&effect)) {
             if (front_.ledger_)
                 front_.ledger_->remember_blocked(settings_.id, blocked->circuit, blocked->blocking);
@@ -289,9 +289,10 @@
     }
 }
 
-void Front::Trunk::restore(const LedgerCall& call) {
-    group_.restore(call.claim, call.call, call.outgoing, front_.time_());
+bool Front::Trunk::restore(const LedgerCall& call) {
+    if (!group_.restore(call.claim, call.call, call.outgoing, front_.time_())) return false;
     (call.outgoing ? outgoing_ : incoming_)[call.call] = call.claim.call;
+    return true;
 }
 
 // ---- Operators ---------------------------------------------------------------------------------------
@@ -371,14 +372,28 @@
     return event;
 }
 
-bool Front::restore(const LedgerCall& call,
-                    const std::function<void(const LedgerCall&, CallerLink*)>& tell_table) {
-    Trunk* const trunk = find(call.group);
-    if (!trunk || trunk->ref_of(call.call) != kNoCall) return false;
-    trunk->restore(call);
-    tell_table(call, call.outgoing ? nullptr : static_cast<CallerLink*>(trunk));
-    if (earlier_) earlier_(trunk->group().next_due());
-    return true;
+std::size_t Front::restore(const std::vector<LedgerCall>& calls,
+                           const std::function<void(const LedgerCall&, CallerLink*)>& tell_table) {
+    std::size_t restored = 0;
+    for (const auto& [id, trunk] : trunks_) {
+        std::vector<Claim> remembered;
+        for (const LedgerCall& call : calls)
+            if (call.group == id) remembered.push_back(call.claim);
+        const std::vector<Claim> sound = claimable(remembered, trunk->settings_.rules.circuits);
+        for (const LedgerCall& call : calls) {
+            if (call.group != id || std::find(sound.begin(), sound.end(), call.claim) == sound.end())
+                continue;
+            if (trunk->ref_of(call.call) != kNoCall || !trunk->restore(call)) continue;
+            ++restored;
+            tell_table(call, call.outgoing ? nullptr : static_cast<CallerLink*>(trunk.get()));
+        }
+    }
+    if (earlier_) earlier_(next_due());
+    return restored;
+}
+
+void Front::restore_blocked(std::uint32_t group, CircuitNumber circuit, Blocking blocking) {
+    if (Trunk* const trunk = find(group)) trunk->group_.restore(circuit, blocking);
 }
 
 void Front::set_up(const ExchangeId& at, const Forward& forward) {
--- a/src/trunk/front.hpp
+++ b/src/trunk/front.hpp
@@ -23,7 +23,9 @@
     GroupRules rules{};
 };
 
-// What outlives the process. A call is noted before the far end hears that it stands.
+// What outlives the process. A call is noted before the far end hears that it stands. There is one place a
+// circuit: whoever stands on it last has it, and a call that has lost one of its places is not whole any
+// more.
 struct LedgerCall {
     std::uint32_t group = 0;
     Claim claim{};
@@ -37,7 +39,7 @@
    public:
     virtual ~Ledger() = default;
     virtual void remember(const LedgerCall& call) = 0;
-    virtual void forget(std::uint32_t group, CallRef call) = 0;
+    virtual void forget(std::uint32_t group, const Claim& claim) = 0;  // where a place is still its own
     virtual void remember_blocked(std::uint32_t group, CircuitNumber circuit, Blocking blocking) = 0;
 };
 
@@ -63,9 +65,11 @@
     // The list with the groups' far hubs in it, whatever it says of them.
     ListEvent with_hubs(ListEvent event) const;
 
-    // A call of a ledger: the group claims it, and the call table has it again. False: it can't be.
-    bool restore(const LedgerCall& call,
-                 const std::function<void(const LedgerCall&, CallerLink*)>& tell_table);
+    // Calls of a ledger: their groups claim them, and the call table has them again. Those that contradict
+    // each other, or the groups as they are now, are left out. Yields how many came back.
+    std::size_t restore(const std::vector<LedgerCall>& calls,
+                        const std::function<void(const LedgerCall&, CallerLink*)>& tell_table);
+    void restore_blocked(std::uint32_t group, CircuitNumber circuit, Blocking blocking);
 
     void set_up(const ExchangeId& at, const Forward& forward) override;
     void give_up(const ExchangeId& at, const CallId& call) override;
@@ -134,7 +138,7 @@
 
     void set_up(const Forward& forward);
     void let_go(const CallId& call, Reason reason);  // of ours
-    void restore(const LedgerCall& call);
+    bool restore(const LedgerCall& call);
     void sweep();  // what only one of group and call table has
     void run_due();
 
--- a/src/trunk/group.cpp
+++ b/src/trunk/group.cpp
@@ -64,7 +64,7 @@
 void Group::erase(Legs::iterator at, Effects& out) {
     for (const CircuitNumber n : at->second.circuits)
         if (circuits_.at(n).call == at->first) circuits_.apply(n, CircuitEvent::clear, kNoCall);
-    if (at->second.state == LegState::standing) out.push_back(Forget{at->first});
+    if (at->second.state == LegState::standing) out.push_back(Forget{{at->first, at->second.circuits}});
     legs_.erase(at);
 }
 
@@ -76,8 +76,11 @@
 
 // ---- At the start ----------------------------------------------------------------------------------
 
-void Group::restore(const Claim& claim, const CallId& call, bool outgoing, Instant now) {
-    if (!exist(claim.circuits) || legs_.count(claim.call)) return;
+bool Group::restore(const Claim& claim, const CallId& call, bool outgoing, Instant now) {
+    const bool free =
+        exist(claim.circuits) && std::all_of(claim.circuits.begin(), claim.circuits.end(),
+                                             [this](CircuitNumber n) { return circuits_.at(n).idle(); });
+    if (!free || legs_.count(claim.call)) return false;
     Leg& leg = legs_[claim.call];
     leg = {outgoing, LegState::standing, claim.circuits, call, now};
     for (const CircuitNumber n : claim.circuits) {
@@ -86,6 +89,7 @@
     }
     held_on_ = true;
     down_since_ = now;
+    return true;
 }
 
 void Group::restore(CircuitNumber circuit, Blocking blocking) {
@@ -136,7 +140,7 @@
 
 // The circuits stay out of use until the far end confirms (Q.764, 2.3.1).
 void Group::let_go(Instant now, Legs::iterator at, Reason reason, Effects& out) {
-    if (at->second.state == LegState::standing) out.push_back(Forget{at->first});
+    if (at->second.state == LegState::standing) out.push_back(Forget{{at->first, at->second.circuits}});
     move(at->second, at->first, LegState::releasing, CircuitEvent::release, now);
     out.push_back(Send{Release{at->first, reason}});
 }
@@ -493,7 +497,8 @@
         for (auto at = legs_.begin(); at != legs_.end();) {
             const auto leg = at++;
             end(leg, Reason::cut, out);
-            if (leg->second.state == LegState::standing) out.push_back(Forget{leg->first});
+            if (leg->second.state == LegState::standing)
+                out.push_back(Forget{{leg->first, leg->second.circuits}});
             for (const CircuitNumber n : leg->second.circuits)
                 if (circuits_.at(n).call == leg->first) circuits_.apply(n, CircuitEvent::doubt, leg->first);
             legs_.erase(leg);
--- a/src/trunk/group.hpp
+++ b/src/trunk/group.hpp
@@ -73,7 +73,7 @@
     bool outgoing;
 };
 struct Forget {  // it does so no longer
-    CallRef ref;
+    Claim claim;
 };
 struct RememberBlocked {
     CircuitNumber circuit;
@@ -100,7 +100,8 @@
     Group(const GroupRules& rules, std::uint32_t life);
 
     // ---- At the start, from a ledger
-    void restore(const Claim& claim, const CallId& call, bool outgoing, Instant now);
+    // False: a circuit of it does not exist or is another call's.
+    bool restore(const Claim& claim, const CallId& call, bool outgoing, Instant now);
     void restore(CircuitNumber circuit, Blocking blocking);
 
     // ---- Calls. kNoCall: no circuits, or the link is down; nothing was sent.
@@ -182,7 +183,7 @@
     std::map<std::uint32_t, PendingReset> resets_;
     std::uint32_t last_reset_ = 0;
     std::set<CallRef> yielding_;  // perhaps more than still do
-    CircuitList lately_;  // contested in the last glare that was lost here
+    CircuitList lately_;          // contested in the last glare that was lost here
 };
 
 }  // namespace nettlestall::trunk
--- a/src/trunk/recovery.hpp
+++ b/src/trunk/recovery.hpp
@@ -23,6 +23,21 @@
 // claimed twice, a call claimed twice. Null: nothing.
 const char* wrong_with(const Claims& claims, int circuits);
 
+// The calls that a ledger with one place a circuit still holds whole: on every circuit of theirs.
+template <class Call>
+std::vector<Call> whole(const std::map<CircuitNumber, Call>& places) {
+    std::vector<Call> found;
+    for (const auto& [circuit, call] : places) {
+        const CircuitList& own = call.claim.circuits;
+        bool all = !own.empty() && own.front() == circuit;  // once, at its first
+        for (const CircuitNumber n : own)
+            if (const auto at = places.find(n); at == places.end() || at->second.claim != call.claim)
+                all = false;
+        if (all) found.push_back(call);
+    }
+    return found;
+}
+
 // The calls of a ledger that may be claimed: each circuit once and within the group's size of now. A group
 // that has shrunk, or a ledger that contradicts itself, loses the calls concerned.
 std::vector<Claim> claimable(const std::vector<Claim>& remembered, int circuits);
--- a/src/trunk/terms.hpp
+++ b/src/trunk/terms.hpp
@@ -21,7 +21,8 @@
 // different ones: the top bit tells the end with the higher point code, 31 bits its life, 32 count.
 using CallRef = std::uint64_t;
 constexpr CallRef kNoCall = 0;
-constexpr CallRef kInBetween = ~CallRef{0};  // in a query response: the circuit awaits a word of the other end
+constexpr CallRef kInBetween =
+    ~CallRef{0};  // in a query response: the circuit awaits a word of the other end
 
 // Of one end of a group.
 struct Ends {
--- a/tests/trunk/ends.hpp
+++ b/tests/trunk/ends.hpp
@@ -55,7 +55,7 @@
                 words.push_back("freed " + std::to_string(freed->circuit));
             if (const auto* stands = std::get_if<Remember>(&effect)) ledger[at(e)].push_back(stands->claim);
             if (const auto* over = std::get_if<Forget>(&effect))
-                std::erase_if(ledger[at(e)], [&](const Claim& c) { return c.call == over->ref; });
+                std::erase_if(ledger[at(e)], [&](const Claim& c) { return c.call == over->claim.call; });
             if (std::holds_alternative<Renew>(effect)) renewed[at(e)] = true;
         }
     }
