Search every state that two ends of a group can reach, with bounded faults

Need: a rule that fails only in one order of messages is not found by seeds alone. Change: nettlestall_lab search walks all states of two real ends with messages under way; broken rules are found and their trail printed. A life of a hub without a ledger is no longer counted as remembered by the next one in glare.

--- a/src/lab/hub.hpp
+++ b/src/lab/hub.hpp
@@ -104,6 +104,7 @@
     std::map<std::uint32_t, std::unique_ptr<End>> ends_;
     std::unique_ptr<Process> process_;
     std::uint32_t life_ = 0;
+    bool remembers_ = false;  // this life notes its calls in the ledger
     Instant stalled_until_{};
     std::vector<CallId> caller_releases_;  // for the next life
     std::vector<CallId> line_ends_;
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -61,6 +61,8 @@
     search->add_option("--losses", settings->losses, "Calls that one end forgets")->capture_default_str();
     search->add_option("--repeats", settings->repeats, "Messages that are heard twice")
         ->capture_default_str();
+    search->add_option("--audits", settings->audits, "Ordered at any moment")->capture_default_str();
+    search->add_option("--ticks", settings->ticks, "Leaps of time at any moment")->capture_default_str();
     search->add_option("--most-states", settings->most_states)->capture_default_str();
     search->add_flag("--wide", settings->wide, "Calls take two circuits");
     search->add_flag("!--no-ledger", settings->ledger, "A crashed end remembers nothing");
