--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -6,8 +6,8 @@
 #include <string>
 #include <vector>
 
-#include "config/settings.hpp"
 #include "calls/signals.hpp"
+#include "config/settings.hpp"
 
 namespace nettlestall::config {
 
--- a/src/lab/hub.cpp
+++ b/src/lab/hub.cpp
@@ -147,15 +147,15 @@
 };
 
 struct Hub::Process {
-    Process(Hub& hub, bool with_ledger)
+    explicit Process(Hub& hub)
         : lines(hub),
           routes(lines),
           gatekeeper(
               module_settings(hub.settings_), hub.life_, [&hub] { return hub.simulation_.now(); }, routes,
               counters),
           front(
-              hub.settings_.number, hub.life_, [&hub] { return hub.simulation_.now(); }, gatekeeper,
-              gatekeeper, gatekeeper, with_ledger ? &hub.ledger_ : nullptr),
+              hub.settings_.number, [&hub] { return hub.simulation_.now(); }, gatekeeper, gatekeeper,
+              gatekeeper),
           callers(hub),
           calls_alarm(hub.simulation_, [&hub](std::function<void()> work) { hub.do_awake(std::move(work)); }),
           trunk_alarm(hub.simulation_,
@@ -212,7 +212,7 @@
 void Hub::start(bool with_ledger) {
     ++life_;
     stalled_until_ = {};
-    process_ = std::make_unique<Process>(*this, with_ledger);
+    process_ = std::make_unique<Process>(*this);
     Process& p = *process_;
     p.front.on_output([this](trunk::Front::Trunk& trunk) { ends_.at(trunk.settings().id)->flush(trunk); });
     p.front.on_freed([this](const trunk::Front::Trunk&, const trunk::Freed& freed) {
@@ -226,6 +226,7 @@
     lines.entry.lines_only = true;
     for (const trunk::GroupSettings& group : settings_.groups)
         p.routes.add(p.front.add(group).settings().exchange, p.front);
+    p.front.begin(life_, with_ledger ? &ledger_ : nullptr);
     p.gatekeeper.list(p.front.with_hubs(list));
     LoadReport room;
     room.free_circuits = room.group_size = kLineCircuits;
--- a/src/lab/search.cpp
+++ b/src/lab/search.cpp
@@ -207,7 +207,7 @@
                 steps.emplace_back(who + " hears: " + what, [e](World& w) { w.deliver(e); });
                 if (world.repeats > 0)
                     steps.emplace_back(who + " hears twice: " + what,
-                                       [e](World& w) { --w.repeats, w.deliver(e, true); });
+                                       [e](World& w) { --w.repeats, w.lost_any = true, w.deliver(e, true); });
             }
             if (group.in_service() && world.calls[static_cast<std::size_t>(e)] > 0)
                 steps.emplace_back(who + " seizes", [this, e](World& w) {
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,313 +1,114 @@
-// One gatekeeper: wiring, signals, counters.
-#include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
+// The command line. Without a word `nettlestall` serves, as `nettlestall serve` does.
+#include <CLI/CLI.hpp>
 #include <csignal>
 #include <iostream>
-#include <map>
-#include <optional>
 
-#include "config/config.hpp"
-#include "net/clients.hpp"
-#include "net/feed.hpp"
-#include "net/figures.hpp"
-#include "calls/gatekeeper.hpp"
-#include "net/handover.hpp"
-#include "net/operators.hpp"
-#include "net/servers.hpp"
+#include "cli/circuits.hpp"
+#include "config/operator_file.hpp"
+#include "program.hpp"
 
-namespace nettlestall {
 namespace {
 
-using namespace std::chrono_literals;
-namespace asio = boost::asio;
+using namespace nettlestall;
+using cli::Exit;
 
-constexpr std::size_t kSpareSockets = 96;  // for the carrier switches, the feed and the process's own files
-constexpr Duration kServeOn = 800ms;       // after SIGTERM: callers go on for up to 0.6 s
-constexpr Duration kLastWrites = 100ms;    // for what is refused at the end of that time
-constexpr Duration kFeedSpeaks = 4500ms;   // a new process waits for it no longer
-constexpr Duration kStopTick = 20ms;
-constexpr int kNotes = 100;  // lines of the module that are logged
-
-// Unix time that never runs back: the system's clock is looked at once.
-class UnixClock {
-   public:
-    Instant now() const {
-        return anchor_ + std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() - start_);
+int run(const std::function<int()>& work) {
+    try {
+        return work();
+    } catch (const std::exception& problem) {
+        std::cerr << "nettlestall: " << problem.what() << '\n';
+        return Exit::kFailed;
     }
-
-   private:
-    std::chrono::steady_clock::time_point start_ = std::chrono::steady_clock::now();
-    Instant anchor_ =
-        std::chrono::duration_cast<Duration>(std::chrono::system_clock::now().time_since_epoch());
-};
-
-// The names of the addresses are looked up nowhere, so they must be numeric.
-config::Config load() {
-    config::Config config = config::load();
-    if (!net::to_endpoint(config.listen)) json::bad_key("listen", "a numeric address:port");
-    if (!config.feed.empty() && !net::to_endpoint(config.feed))
-        json::bad_key("feed", "a numeric address:port");
-    if (!config.operators.empty() && !net::to_endpoint(config.operators))
-        json::bad_key("operator", "a numeric address:port");
-    return config;
 }
 
-class Program final : public protocol::OperatorEvents, public net::Handover::Process {
-   public:
-    Program(asio::io_context& io, const config::Config& config)
-        : name_(config.name),
-          listen_(config.listen),
-          time_to_end_(config.time_to_end()),
-          time_to_end_superseded_(config.time_to_end_superseded()),
-          servers_(io, config.net.connect_time_out, counters_),
-          gatekeeper_(
-              config.settings, config.seed, [this] { return clock_.now(); }, servers_, counters_,
-              most_held(config)),
-          clients_(io, most_clients(config), gatekeeper_, counters_),
-          feed_(
-              io, net::to_endpoint(config.feed), config.known,
-              [this](const ListEvent& event) { take(event); }, longest_line(config), counters_),
-          handover_(io, config.handover, *this, counters_),
-          most_clients_(most_clients(config)),
-          alarm_(io),
-          stop_tick_(io),
-          signals_(io, SIGTERM, SIGINT, SIGUSR1) {
-        signals_.add(SIGHUP);
-        if (!config.operators.empty())
-            operators_.emplace(io, *net::to_endpoint(config.operators), *this, counters_);
-        servers_.report_to(gatekeeper_);
-        gatekeeper_.on_schedule([this](Instant at) { arm(at); });
-        gatekeeper_.on_note([this](const std::string& text) {
-            if (++notes_ <= kNotes) std::cerr << "note: " << text << '\n';
+void add_circuits(CLI::App& app, int& result) {
+    struct Words {
+        std::string at, circuits = "", kind = "soft";
+        std::uint32_t group = 0;
+        bool all = false;
+    };
+    const auto words = std::make_shared<Words>();
+    CLI::App* circuits =
+        app.add_subcommand("circuits", "Circuit groups, through a gatekeeper's operators' address");
+    circuits->add_option("--at", words->at, "The operators' address, address:port")
+        ->envname("BALANCER_OPERATOR")
+        ->required();
+    circuits->require_subcommand(1);
+    const auto target = [words](const std::string& what) {
+        return "/circuits/" + std::to_string(words->group) + what;
+    };
+    CLI::App* list =
+        circuits->add_subcommand("list", "All groups, or the circuits of one that are not idle and free");
+    list->add_option("--group", words->group);
+    list->add_flag("--all", words->all, "Of the group, every circuit");
+    list->callback([words, target, list, &result] {
+        const std::string of = list->count("--group") ? target(words->all ? "?all=1" : "") : "/circuits";
+        result = cli::call_operators(words->at, "GET", of);
+    });
+    for (const auto& [name, about] :
+         {std::pair{"block", "Takes circuits out of use, here and at the far end"},
+          {"unblock", "Gives them back"},
+          {"reset", "Makes them idle at both ends; calls on them are cut"}}) {
+        CLI::App* order = circuits->add_subcommand(name, about);
+        order->add_option("--group", words->group)->required();
+        order->add_option("--circuits", words->circuits, "all, or numbers and ranges such as 1-4,7")
+            ->required();
+        if (std::string(name) == "block")
+            order->add_option("--kind", words->kind, "soft: calls on them go on; hard: they are cut")
+                ->check(CLI::IsMember({"soft", "hard"}))
+                ->capture_default_str();
+        order->callback([words, target, what = std::string(name), &result] {
+            std::string query = "/" + what + "?circuits=" + words->circuits;
+            if (what == "block") query += "&kind=" + words->kind;
+            result = cli::call_operators(words->at, "POST", target(query));
         });
-        clients_.send_away_while([this] { return gatekeeper_.sends_away(); });
-        bool first = true;
-        for (ListEvent event : config.events) {
-            if (!event.has_list) continue;
-            if (std::exchange(first, false)) event.kind = ListKind::remembered;
-            take(event);
-        }
-        net::spawn(io, watch_signals());
-        feed_.start();
-        if (handover_.find_predecessor()) {
-            std::cerr << name_ << ": another process serves, getting ready to take over" << std::endl;
-        } else {
-            take_over();
-            handover_.claim();
-        }
-        if (operators_) operators_->start();
     }
-
-    const Counters& counters() const { return counters_; }
-
-    bool ready() override { return in_charge_ && gatekeeper_.ready(); }
-    std::string metrics() const override { return net::figures(gatekeeper_, counters_); }
-    void drain() override {
-        ++counters_.drains;
-        gatekeeper_.drain();
-    }
-    void undrain() override { gatekeeper_.undrain(); }
-
-    // ---- An upgrade, as the process that serves
-
-    std::string list() const override {
-        ListEvent all{.number = feed_.last(),
-                      .has_list = true,
-                      .kind = ListKind::complete,
-                      .version = version_,
-                      .entries = {}};
-        for (const auto& [id, listed] : roster_) all.entries.push_back(listed);
-        return protocol::write_list_event(all);
-    }
-    int listener() override { return clients_.listener(); }
-    void give_way() override {
-        std::cerr << "another process takes over" << std::endl;
-        clients_.pause();
-        gatekeeper_.give_way_to(&handover_);
-        clients_.pass_on_by([this](int descriptor, bool has_asked, std::string begun) {
-            handover_.pass_caller(net::Descriptor(descriptor), has_asked, std::move(begun));
-            handover_.tell_remaining(clients_.open());
-        });
-        handover_.tell_remaining(clients_.open());
-    }
-    void take_back() override {
-        std::cerr << "the other process has gone" << std::endl;
-        gatekeeper_.give_way_to(nullptr);
-        clients_.pass_on_by(nullptr);
-        clients_.resume();
-    }
-
-    // ---- An upgrade, as the new process
-
-    void take_listener(net::Descriptor listener) override { clients_.listen_on(listener.release()); }
-    void take_list(const std::string& line) override {
-        try {
-            const ListEvent event = protocol::read_list_event(line);
-            feed_.catch_up(event.number, {event});
-        } catch (const json::BadInput& problem) {
-            std::cerr << "list of the process before: " << problem.what() << std::endl;
-        }
-    }
-    bool prepared() override {
-        return gatekeeper_.ready() && (feed_.has_spoken() || clock_.now() - started_ >= kFeedSpeaks);
-    }
-    void take_over() override {
-        if (clients_.listener() < 0) clients_.listen(*net::to_endpoint(listen_));
-        in_charge_ = true;
-        clients_.start();
-        std::cerr << name_ << ": listening on " << listen_ << std::endl;
-    }
-    void take_caller(net::Descriptor connection, bool has_asked, std::string_view begun) override {
-        clients_.adopt(connection.release(), has_asked, begun);
-    }
-    void predecessor_holds(std::size_t connections) override {
-        held_elsewhere_ = connections;
-        clients_.use_most(most_clients_ - std::min(most_clients_ - 1, connections));
-    }
-    void take_standing(const ExchangeId& at, const CallId& call, const std::string& origin) override {
-        gatekeeper_.take_standing(at, call, origin);
-    }
-    void take_end(const ExchangeId& at, const CallId& call, Outcome outcome) override {
-        gatekeeper_.ended(at, call, outcome, Cause::none, {});
-    }
-    void take_release(const CallId& call) override { gatekeeper_.take_release(call); }
-
-   private:
-    static std::size_t memory(const config::Config& config) {
-        return static_cast<std::size_t>(config.memory_mb) * 1024 * 1024;
-    }
-
-    // Half of the memory for the connections' queues and buffers, were all as full as they may be.
-    static std::size_t most_clients(const config::Config& config) {
-        const auto sockets = static_cast<std::size_t>(config.sockets);
-        return std::max<std::size_t>(1, std::min(sockets - std::min(kSpareSockets, sockets / 2),
-                                                 memory(config) / 2 / net::kMostBuffered));
-    }
-
-    // A sixth for descriptions of waiting calls.
-    static std::size_t most_held(const config::Config& config) { return memory(config) / 6; }
-
-    // Read as JSON, a line takes some ten times its length.
-    static std::size_t longest_line(const config::Config& config) { return memory(config) / 128; }
-
-    // The call table first: it withdraws what is out to an exchange before its connection goes.
-    void take(const ListEvent& event) {
-        gatekeeper_.list(event);
-        servers_.list(event);
-        if (event.kind != ListKind::changes) roster_.clear();
-        version_ = event.version;
-        for (const ListedExchange& listed : event.entries) {
-            roster_.erase(listed.entry.exchange);
-            if (listed.entry.state != ExchangeState::gone) roster_.emplace(listed.entry.exchange, listed);
-        }
-    }
-
-    void arm(Instant at) {
-        alarm_.expires_after(std::max(Duration::zero(), at - clock_.now()));
-        alarm_.async_wait([this](const boost::system::error_code& stopped) {
-            if (!stopped) gatekeeper_.run_due();
-        });
-    }
-
-    asio::awaitable<void> watch_signals() {
-        for (;;) {
-            const int signal = co_await signals_.async_wait(asio::use_awaitable);
-            if (signal == SIGUSR1) {
-                std::cerr << counters_ << std::endl;
-            } else if (signal == SIGHUP) {
-                reload();
-            } else if (!std::exchange(stopping_, true)) {
-                net::spawn(alarm_.get_executor(), stop());
-            }
-        }
-    }
-
-    // A faulty file changes nothing: all of it is read and checked before any of it is used.
-    void reload() {
-        try {
-            const config::Config fresh = load();
-            if (fresh.listen != listen_) json::bad_key("listen", "the same until a restart");
-            if (!gatekeeper_.can_take(fresh.settings))
-                json::bad(
-                    "in 'settings': 'grades', 'layout' and 'this_node' must be the same until a restart");
-            gatekeeper_.take(fresh.settings, most_held(fresh));
-            time_to_end_ = fresh.time_to_end();
-            time_to_end_superseded_ = fresh.time_to_end_superseded();
-            servers_.use_connect_time_out(fresh.net.connect_time_out);
-            most_clients_ = most_clients(fresh);
-            predecessor_holds(held_elsewhere_);
-            feed_.use_longest_line(longest_line(fresh));
-            feed_.catch_up(fresh.known, fresh.events);
-            feed_.move(net::to_endpoint(fresh.feed));
-            ++counters_.reloads;
-            std::cerr << "configuration taken over, feed " << fresh.feed << std::endl;
-        } catch (const std::exception& problem) {
-            ++counters_.reloads_refused;
-            std::cerr << "configuration refused, the old one stays: " << problem.what() << std::endl;
-        }
-    }
-
-    // Goes on serving until callers have had the time to turn elsewhere and all that is owed is answered.
-    asio::awaitable<void> stop() {
-        const Instant told = clock_.now();
-        const Instant end = told + (handover_.superseded() ? time_to_end_superseded_ : time_to_end_);
-        gatekeeper_.leave(end);
-        for (;;) {
-            stop_tick_.expires_after(kStopTick);
-            co_await stop_tick_.async_wait(asio::use_awaitable);
-            const Instant now = clock_.now();
-            if (now >= end) gatekeeper_.refuse_all();
-            const bool done = gatekeeper_.unanswered() == 0 && clients_.idle() && servers_.idle() &&
-                              handover_.idle() && !(handover_.superseded() && clients_.open() > 0);
-            if ((done && now >= told + kServeOn) || now >= end + kLastWrites) break;
-        }
-        clients_.stop();
-        if (operators_) operators_->stop();
-        feed_.stop();
-        handover_.stop();
-        static_cast<asio::io_context&>(stop_tick_.get_executor().context()).stop();
-    }
-
-    std::string name_, listen_;
-    Duration time_to_end_, time_to_end_superseded_;
-    UnixClock clock_;
-    Instant started_ = clock_.now();
-    Counters counters_;
-    net::Servers servers_;
-    calls::Gatekeeper gatekeeper_;
-    net::Clients clients_;
-    net::Feed feed_;
-    net::Handover handover_;
-    std::optional<net::Operators> operators_;
-    std::map<ExchangeId, ListedExchange> roster_;  // the list, for the process after this one
-    std::int64_t version_ = 0;
-    std::size_t most_clients_, held_elsewhere_ = 0;  // connections: at the most here; with the one before
-    bool in_charge_ = false;
-    asio::steady_timer alarm_, stop_tick_;
-    asio::signal_set signals_;
-    int notes_ = 0;
-    bool stopping_ = false;
-};
+    CLI::App* audit = circuits->add_subcommand("audit", "Compares a group with its far end now");
+    audit->add_option("--group", words->group)->required();
+    audit->callback(
+        [words, target, &result] { result = cli::call_operators(words->at, "POST", target("/audit")); });
+}
 
 }  // namespace
 
-int run() {
-    const config::Config config = load();
-    asio::io_context io(1);
-    Program program(io, config);
-    io.run();
-    std::cerr << program.counters() << std::endl;
-    return 0;
-}
+int main(int count, char** words) {
+    std::signal(SIGPIPE, SIG_IGN);
+    CLI::App app("The gatekeeper of a game hub. Without a subcommand it serves.", "nettlestall");
+    app.footer(
+        "Exit codes: 0 done; 1 it can't start, or a file is wrong; 2 the command line is wrong; 3 the "
+        "gatekeeper "
+        "refused the order; 4 no gatekeeper answered.");
+    app.require_subcommand(0, 1);
+    int result = Exit::kDone;
+
+    ServeOptions options;
+    CLI::App* serve =
+        app.add_subcommand("serve", "Serves; its configuration is in the file that BALANCER_CONFIG names");
+    serve->add_option("--file", options.operator_file, "The operator's own file; none: nothing of it is on");
+    serve->callback([&] { result = run([&] { return nettlestall::serve(options); }); });
+
+    std::string file;
+    CLI::App* check = app.add_subcommand("check-config",
+                                         "Reads an operator's file as `serve` would, and says what is wrong");
+    check->add_option("FILE", file)->required();
+    check->callback([&] {
+        result = run([&] {
+            config::read_operator_file(file);
+            std::cout << file << ": in order\n";
+            return static_cast<int>(Exit::kDone);
+        });
+    });
 
-}  // namespace nettlestall
+    app.add_subcommand("version", "Prints the version")->callback([] {
+        std::cout << "nettlestall " NETTLESTALL_VERSION "\n";
+    });
+    add_circuits(app, result);
 
-int main() {
-    std::signal(SIGPIPE, SIG_IGN);
     try {
-        return nettlestall::run();
-    } catch (const std::exception& problem) {
-        std::cerr << "nettlestall: " << problem.what() << '\n';
-        return 1;
+        app.parse(count, words);
+    } catch (const CLI::ParseError& problem) {
+        return app.exit(problem) == 0 ? Exit::kDone : Exit::kUsage;
     }
+    if (app.get_subcommands().empty()) result = run([&] { return nettlestall::serve(options); });
+    return result;
 }
--- a/src/net/handover.hpp
+++ b/src/net/handover.hpp
@@ -6,10 +6,10 @@
 #include <boost/asio/steady_timer.hpp>
 #include <deque>
 
+#include "calls/signals.hpp"
 #include "counters.hpp"
 #include "net/connection.hpp"
 #include "protocol/handover.hpp"
-#include "calls/signals.hpp"
 
 namespace nettlestall::net {
 
--- a/src/net/servers.hpp
+++ b/src/net/servers.hpp
@@ -4,8 +4,8 @@
 #include <boost/asio/io_context.hpp>
 #include <map>
 
-#include "net/connection.hpp"
 #include "calls/signals.hpp"
+#include "net/connection.hpp"
 #include "protocol/switches.hpp"
 
 namespace nettlestall::net {
--- /dev/null
+++ b/src/net/trunks.cpp
@@ -0,0 +1,272 @@
+#include "net/trunks.hpp"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/write.hpp>
+#include <utility>
+
+namespace nettlestall::net {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kBeat{1000};     // a sign of life, and what was received
+constexpr milliseconds kSilence{3000};  // without any, the connection is given up
+constexpr milliseconds kHello{3000};    // for a new connection to say who it is
+constexpr milliseconds kConnect{1000};
+constexpr milliseconds kFirstPause{100}, kLongestPause{3000};  // between dials, doubling
+constexpr milliseconds kAcceptPause{20};
+constexpr std::size_t kRead = 16 * 1024;
+
+}  // namespace
+
+// One connection of a group.
+class Trunks::Link : public std::enable_shared_from_this<Link> {
+   public:
+    Link(tcp::socket socket, trunk::Front::Trunk& of) : trunk(of), socket_(std::move(socket)) {
+        set_up_socket(socket_);
+    }
+
+    trunk::Front::Trunk& trunk;
+    Clock::time_point heard = Clock::now();
+
+    tcp::socket& socket() { return socket_; }
+    bool open() const { return socket_.is_open() && !ending_; }
+    bool idle() const { return !writing_; }
+
+    void send(std::string bytes) {
+        if (bytes.empty() || !open()) return;
+        waiting_ += bytes;
+        if (!std::exchange(writing_, true)) spawn(socket_.get_executor(), write(shared_from_this()));
+    }
+    // Once what waits has been written.
+    void end() {
+        ending_ = true;
+        if (!writing_) close();
+    }
+    void close() {
+        boost::system::error_code ignored;
+        socket_.shutdown(tcp::socket::shutdown_both, ignored);
+        socket_.close(ignored);
+    }
+
+   private:
+    static asio::awaitable<void> write(std::shared_ptr<Link> self) {
+        while (!self->waiting_.empty() && self->socket_.is_open()) {
+            self->under_way_ = std::exchange(self->waiting_, {});
+            const auto [error, bytes] = co_await asio::async_write(
+                self->socket_, asio::buffer(self->under_way_), asio::as_tuple(asio::use_awaitable));
+            if (error) self->close();
+        }
+        self->writing_ = false;
+        if (self->ending_) self->close();
+    }
+
+    tcp::socket socket_;
+    std::string waiting_, under_way_;
+    bool writing_ = false, ending_ = false;
+};
+
+Trunks::Trunks(asio::io_context& io, trunk::Front& front, std::optional<tcp::endpoint> listen,
+               trunk::Front::Time time, Note note)
+    : io_(io),
+      front_(front),
+      time_(std::move(time)),
+      note_(std::move(note)),
+      acceptor_(io),
+      alarm_(io),
+      beat_(io) {
+    front_.on_output([this](trunk::Front::Trunk& trunk) { flush(trunk); });
+    front_.on_schedule([this](Instant at) { arm(at); });
+    if (!listen) return;
+    acceptor_.open(listen->protocol());
+    acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    acceptor_.bind(*listen);
+    acceptor_.listen(64);
+}
+
+Trunks::~Trunks() = default;
+
+void Trunks::dial(trunk::Front::Trunk& trunk, const tcp::endpoint& to) {
+    dialled_.push_back({&trunk, to});
+}
+
+void Trunks::start() {
+    if (acceptor_.is_open()) spawn(io_, accept());
+    for (const Dialled& dialled : dialled_) spawn(io_, keep_up(dialled));
+    spawn(io_, beat());
+}
+
+void Trunks::stop() {
+    stopped_ = true;
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+    alarm_.cancel();
+    beat_.cancel();
+    for (const auto& [trunk, link] : std::exchange(links_, {})) {
+        link->close();
+        trunk->disconnected();
+    }
+}
+
+bool Trunks::idle() const {
+    return std::all_of(links_.begin(), links_.end(), [](const auto& at) { return at.second->idle(); });
+}
+
+// ---- Connections -------------------------------------------------------------------------------------
+
+asio::awaitable<void> Trunks::accept() {
+    asio::steady_timer pause(io_);
+    while (!stopped_) {
+        auto [error, socket] = co_await acceptor_.async_accept(asio::as_tuple(asio::use_awaitable));
+        if (stopped_) co_return;
+        if (error) {
+            pause.expires_after(kAcceptPause);
+            co_await pause.async_wait(asio::as_tuple(asio::use_awaitable));
+            continue;
+        }
+        unknown_.remove_if([](const auto& known) { return known.expired(); });
+        if (unknown_.size() >= kMostUnknown) {
+            boost::system::error_code ignored;
+            if (const auto oldest = unknown_.front().lock()) oldest->close(ignored);
+            unknown_.pop_front();
+        }
+        auto held = std::make_shared<tcp::socket>(std::move(socket));
+        unknown_.push_back(held);
+        spawn(io_, greet(std::move(held)));
+    }
+}
+
+// Reads until the far end has said which group it is of. Only then, and only if all agrees, does it take the
+// place of the connection that the group has: guards a link that works against whoever else connects.
+asio::awaitable<void> Trunks::greet(std::shared_ptr<tcp::socket> socket) {
+    asio::steady_timer limit(io_, kHello);
+    limit.async_wait([held = std::weak_ptr(socket)](const boost::system::error_code& stopped) {
+        boost::system::error_code ignored;
+        if (const auto late = held.lock(); late && !stopped) late->close(ignored);
+    });
+    std::string first;
+    std::array<char, 512> space;
+    trunk::Frame frame;
+    for (;;) {
+        const auto [error, bytes] =
+            co_await socket->async_read_some(asio::buffer(space), asio::as_tuple(asio::use_awaitable));
+        if (error || stopped_ || !socket->is_open()) co_return;
+        first.append(space.data(), bytes);
+        trunk::FrameReader reader;
+        reader.fed(first);
+        const auto next = reader.next(frame);
+        if (next == trunk::FrameReader::Next::frame) break;
+        if (next == trunk::FrameReader::Next::malformed || first.size() > kRead) co_return;
+    }
+    limit.cancel();
+    const auto* hello = std::get_if<trunk::Hello>(&frame);
+    trunk::Front::Trunk* const group = hello ? front_.find(hello->group) : nullptr;
+    std::string wrong = !hello   ? "no hello"
+                        : !group ? "group " + std::to_string(hello->group) + " is not known here"
+                                 : group->session().wrong_with(*hello);
+    if (!wrong.empty()) {
+        note_("trunk connection refused: " + wrong);
+        const std::string bye = trunk::write(trunk::Bye{wrong.substr(0, trunk::kLongestName)});
+        co_await asio::async_write(*socket, asio::buffer(bye), asio::as_tuple(asio::use_awaitable));
+        co_return;
+    }
+    auto link = std::make_shared<Link>(std::move(*socket), *group);
+    socket.reset();
+    co_await converse(std::move(link), std::move(first));
+}
+
+asio::awaitable<void> Trunks::keep_up(Dialled dialled) {
+    asio::steady_timer pause(io_);
+    milliseconds wait = kFirstPause;
+    while (!stopped_) {
+        tcp::socket socket(io_);
+        const auto error = co_await connect(socket, dialled.to, kConnect);
+        if (stopped_) co_return;
+        if (!error) {
+            const std::uint64_t before =
+                dialled.trunk->session().counts().resumed + dialled.trunk->session().counts().anew;
+            co_await converse(std::make_shared<Link>(std::move(socket), *dialled.trunk), {});
+            if (stopped_) co_return;
+            // Guards against a far end that takes connections and closes each at once.
+            if (dialled.trunk->session().counts().resumed + dialled.trunk->session().counts().anew > before)
+                wait = kFirstPause;
+        }
+        pause.expires_after(wait);
+        co_await pause.async_wait(asio::as_tuple(asio::use_awaitable));
+        wait = std::min(2 * wait, kLongestPause);
+    }
+}
+
+asio::awaitable<void> Trunks::converse(std::shared_ptr<Link> link, std::string first) {
+    if (const auto before = links_.find(&link->trunk); before != links_.end())
+        lose(before->second, "another connection takes its place");
+    links_[&link->trunk] = link;
+    link->trunk.connected();
+    const auto take = [&](std::string_view bytes) {
+        if (link->trunk.fed(bytes)) return true;
+        lose(link, link->trunk.session().complaint());
+        return false;
+    };
+    if (!first.empty() && !take(first)) co_return;
+    std::array<char, kRead> space;
+    for (;;) {
+        const auto [error, bytes] =
+            co_await link->socket().async_read_some(asio::buffer(space), asio::as_tuple(asio::use_awaitable));
+        const auto at = links_.find(&link->trunk);
+        if (stopped_ || at == links_.end() || at->second != link) co_return;  // it has lost its place
+        if (error) {
+            lose(link, "the connection broke: " + error.message());
+            co_return;
+        }
+        link->heard = Clock::now();
+        if (!take({space.data(), bytes})) co_return;
+    }
+}
+
+void Trunks::lose(const std::shared_ptr<Link>& link, const std::string& why) {
+    const auto at = links_.find(&link->trunk);
+    if (at == links_.end() || at->second != link) return;
+    links_.erase(at);
+    link->send(link->trunk.take_output());  // why it is closed
+    link->end();
+    link->trunk.disconnected();
+    std::string text = "group " + std::to_string(link->trunk.settings().id) + ": link down, " + why;
+    if (std::exchange(last_note_[&link->trunk], text) != text) note_(text);
+}
+
+void Trunks::flush(trunk::Front::Trunk& trunk) {
+    if (const auto at = links_.find(&trunk); at != links_.end()) at->second->send(trunk.take_output());
+}
+
+// ---- Time --------------------------------------------------------------------------------------------
+
+asio::awaitable<void> Trunks::beat() {
+    while (!stopped_) {
+        beat_.expires_after(kBeat);
+        co_await beat_.async_wait(asio::as_tuple(asio::use_awaitable));
+        if (stopped_) co_return;
+        std::vector<std::shared_ptr<Link>> all;
+        for (const auto& [trunk, link] : links_) all.push_back(link);
+        for (const auto& link : all) {
+            if (Clock::now() - link->heard >= kSilence)
+                lose(link, "nothing heard for 3 s");
+            else
+                link->trunk.beat();
+        }
+    }
+}
+
+void Trunks::arm(Instant at) {
+    if (stopped_ || at >= armed_) return;
+    armed_ = at;
+    alarm_.expires_after(std::max(Duration::zero(), at - time_()));
+    alarm_.async_wait([this](const boost::system::error_code& stopped) {
+        if (stopped || stopped_) return;
+        armed_ = Instant::max();
+        front_.run_due();
+    });
+}
+
+}  // namespace nettlestall::net
--- /dev/null
+++ b/src/net/trunks.hpp
@@ -0,0 +1,66 @@
+// The links of the trunk signalling over TCP: one connection a group, dialled by the hub with the lower point
+// code, with backoff, and taken in by the other one. All that is decided is decided in src/trunk.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "net/connection.hpp"
+#include "trunk/front.hpp"
+
+namespace nettlestall::net {
+
+class Trunks {
+   public:
+    // Connections that have not said hello yet; at the bound the oldest makes room.
+    static constexpr std::size_t kMostUnknown = 16;
+
+    using Note = std::function<void(const std::string&)>;
+
+    // Listens at once if it is to; throws boost::system::system_error if it cannot.
+    Trunks(asio::io_context& io, trunk::Front& front, std::optional<tcp::endpoint> listen,
+           trunk::Front::Time time, Note note);
+    ~Trunks();
+
+    void dial(trunk::Front::Trunk& trunk, const tcp::endpoint& to);
+    void start();
+    void stop();
+    bool idle() const;  // all that was to be written has been
+
+   private:
+    class Link;
+    struct Dialled {
+        trunk::Front::Trunk* trunk;
+        tcp::endpoint to;
+    };
+
+    asio::awaitable<void> accept();
+    asio::awaitable<void> greet(std::shared_ptr<tcp::socket> socket);
+    asio::awaitable<void> keep_up(Dialled dialled);
+    asio::awaitable<void> converse(std::shared_ptr<Link> link, std::string first);
+    asio::awaitable<void> beat();
+    void arm(Instant at);
+    void flush(trunk::Front::Trunk& trunk);
+    void lose(const std::shared_ptr<Link>& link, const std::string& why);
+
+    asio::io_context& io_;
+    trunk::Front& front_;
+    trunk::Front::Time time_;
+    Note note_;
+    tcp::acceptor acceptor_;
+    asio::steady_timer alarm_, beat_;
+    Instant armed_ = Instant::max();
+    std::vector<Dialled> dialled_;
+    std::map<trunk::Front::Trunk*, std::shared_ptr<Link>> links_;
+    std::list<std::weak_ptr<tcp::socket>> unknown_;  // the oldest first
+    std::map<trunk::Front::Trunk*, std::string> last_note_;
+    bool stopped_ = false;
+};
+
+}  // namespace nettlestall::net
--- a/src/protocol/callers.hpp
+++ b/src/protocol/callers.hpp
@@ -2,9 +2,9 @@
 // table's answers as messages. Knows no socket.
 #pragma once
 
+#include "calls/signals.hpp"
 #include "counters.hpp"
 #include "protocol/codec.hpp"
-#include "calls/signals.hpp"
 
 namespace nettlestall::protocol {
 
--- a/src/protocol/feed.hpp
+++ b/src/protocol/feed.hpp
@@ -8,8 +8,8 @@
 #include <string_view>
 #include <vector>
 
-#include "config/json.hpp"
 #include "calls/signals.hpp"
+#include "config/json.hpp"
 
 namespace nettlestall::protocol {
 
--- a/src/protocol/operators.cpp
+++ b/src/protocol/operators.cpp
@@ -99,7 +99,9 @@
     for (std::string_view field = next_line(head); !field.empty(); field = next_line(head))
         if (!read_field(field)) return false;
     if (!host_ && version == "HTTP/1.1") return refuse("400 Bad Request");
-    target_.resize(std::min(target_.find('?'), target_.size()));
+    const auto mark = std::min(target_.find('?'), target_.size());
+    query_ = target_.substr(std::min(mark + 1, target_.size()));
+    target_.resize(mark);
     return true;
 }
 
@@ -128,7 +130,17 @@
 void OperatorSession::carry_out() {
     const bool reads = target_ == "/ready" || target_ == "/metrics";
     if (!reads && target_ != "/drain" && target_ != "/undrain") {
-        refuse("404 Not Found");
+        const auto other = events_.other(method_, target_, query_);
+        if (!other || other->status == 404) {
+            other ? void(reply_ = reply_of("404 Not Found", other->body)) : void(refuse("404 Not Found"));
+        } else if (other->status == 405) {
+            refuse("405 Method Not Allowed", "Allow: " + other->body + "\r\n");
+        } else {
+            reply_ = reply_of(other->status == 200   ? "200 OK"
+                              : other->status == 400 ? "400 Bad Request"
+                                                     : "409 Conflict",
+                              other->body);
+        }
     } else if (method_ != (reads ? "GET" : "POST")) {
         refuse("405 Method Not Allowed", reads ? "Allow: GET\r\n" : "Allow: POST\r\n");
     } else if (target_ == "/ready") {
--- a/src/protocol/operators.hpp
+++ b/src/protocol/operators.hpp
@@ -2,12 +2,18 @@
 #pragma once
 
 #include <cstddef>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
 
 namespace nettlestall::protocol {
 
+struct OperatorReply {
+    int status = 200;  // with 405 the body is the method that is allowed
+    std::string body{};
+};
+
 // What operators can ask for and order.
 class OperatorEvents {
    public:
@@ -15,6 +21,9 @@
     virtual std::string metrics() const = 0;  // lines of name:value|kind
     virtual void drain() = 0;                 // further orders of the same kind change nothing
     virtual void undrain() = 0;
+    // What the parts add that are on. Nothing: there is no such path.
+    virtual std::optional<OperatorReply> other(std::string_view method, std::string_view path,
+                                               std::string_view query) = 0;
 
    protected:
     ~OperatorEvents() = default;
@@ -39,7 +48,7 @@
     void carry_out();
 
     OperatorEvents& events_;
-    std::string bytes_, method_, target_, reply_;
+    std::string bytes_, method_, target_, query_, reply_;
     std::size_t end_ = 0, body_ = 0;
     bool in_body_ = false, host_ = false, length_ = false;
 };
--- a/src/trunk/front.cpp
+++ b/src/trunk/front.cpp
@@ -51,8 +51,8 @@
     : front_(front),
       settings_(settings),
       origin_("trunk:" + std::to_string(settings.id)),
-      group_(settings.rules, front.life_),
-      session_({settings.rules.ends, settings.id, settings.rules.circuits}, front.life_, *this) {}
+      group_(settings.rules, 0),
+      session_({settings.rules.ends, settings.id, settings.rules.circuits}, 0, *this) {}
 
 CallRef Front::Trunk::ref_of(const CallId& call) const {
     for (const auto* of : {&outgoing_, &incoming_})
@@ -149,6 +149,7 @@
     if (at == of.end() || at->second != effect.ref) return;
     of.erase(at);
     if (!effect.outgoing) return front_.callers_.released(*this, effect.call);
+    if (effect.reason == Reason::glare && front_.glare_lost_) front_.glare_lost_(*this, effect.call);
     // Of two hubs the far one knows best whether it was the call's destination; here any refusal is its own.
     const auto [outcome, cause] = meaning(effect.reason, effect.stood, true);
     front_.switches_.ended(settings_.exchange, effect.call, outcome, cause, {});
@@ -329,15 +330,20 @@
 
 // ---- All groups --------------------------------------------------------------------------------------
 
-Front::Front(int own_number, std::uint32_t life, Time time, CallerEvents& callers, SwitchEvents& switches,
-             const CallTable& table, Ledger* ledger)
+Front::Front(int own_number, Time time, CallerEvents& callers, SwitchEvents& switches, const CallTable& table)
     : own_number_(own_number),
-      life_(life),
       time_(std::move(time)),
       callers_(callers),
       switches_(switches),
-      table_(table),
-      ledger_(ledger) {}
+      table_(table) {}
+
+void Front::begin(std::uint32_t life, Ledger* ledger) {
+    ledger_ = ledger;
+    for (const auto& [id, trunk] : trunks_) {
+        trunk->group_.begin(life);
+        trunk->session_.begin(life);
+    }
+}
 
 Front::~Front() = default;
 
@@ -360,9 +366,12 @@
 
 ListEvent Front::with_hubs(ListEvent event) const {
     std::erase_if(event.entries, [this](const ListedExchange& listed) {
-        return by_exchange_.count(listed.entry.exchange) > 0;
+        return by_exchange_.count(listed.entry.exchange) > 0 ||
+               std::any_of(lines_.begin(), lines_.end(),
+                           [&](const auto& own) { return own.entry.exchange == listed.entry.exchange; });
     });
     if (event.kind == ListKind::changes) return event;
+    event.entries.insert(event.entries.end(), lines_.begin(), lines_.end());
     for (const auto& [exchange, trunk] : by_exchange_) {
         ListedExchange& listed = event.entries.emplace_back();
         listed.entry.exchange = exchange;
@@ -410,7 +419,18 @@
         trunk->second->let_go(call, Reason::normal);
 }
 
+void Front::add_lines(const ListedExchange& lines) {
+    lines_.push_back(lines);
+    lines_.back().entry.lines_only = true;
+}
+
+void Front::retire() {
+    retired_ = true;
+    ledger_ = nullptr;
+}
+
 void Front::run_due() {
+    if (retired_) return;
     for (const auto& [id, trunk] : trunks_)
         if (trunk->group().next_due() <= time_()) trunk->run_due();
     if (earlier_) earlier_(next_due());
--- a/src/trunk/front.hpp
+++ b/src/trunk/front.hpp
@@ -53,18 +53,25 @@
 
     class Trunk;  // one group and its link
 
-    // `life` differs from one start to the next. A null ledger remembers nothing.
-    Front(int own_number, std::uint32_t life, Time time, CallerEvents& callers, SwitchEvents& switches,
-          const CallTable& table, Ledger* ledger);
+    Front(int own_number, Time time, CallerEvents& callers, SwitchEvents& switches, const CallTable& table);
     ~Front();
 
     Trunk& add(const GroupSettings& settings);
+    // Once all groups are there, before anything else. `life` differs from one start to the next; a null
+    // ledger remembers nothing.
+    void begin(std::uint32_t life, Ledger* ledger);
     std::vector<Trunk*> trunks() const;
     Trunk* find(std::uint32_t group) const;
 
-    // The list with the groups' far hubs in it, whatever it says of them.
+    // A switch of this hub's own numbers: it ends calls and is no tandem.
+    void add_lines(const ListedExchange& lines);
+    // The list with the groups' far hubs, which have no address, and the own lines in it, whatever it says of
+    // them itself.
     ListEvent with_hubs(ListEvent event) const;
 
+    // Another process has the ledger and the calls from now on: nothing is noted and nothing comes due here.
+    void retire();
+
     // Calls of a ledger: their groups claim them, and the call table has them again. Those that contradict
     // each other, or the groups as they are now, are left out. Yields how many came back.
     std::size_t restore(const std::vector<LedgerCall>& calls,
@@ -79,6 +86,9 @@
     void on_schedule(std::function<void(Instant)> earlier) { earlier_ = std::move(earlier); }
     void on_output(std::function<void(Trunk&)> output) { output_ = std::move(output); }
     void on_freed(std::function<void(const Trunk&, const Freed&)> freed) { freed_ = std::move(freed); }
+    void on_glare_lost(std::function<void(const Trunk&, const CallId&)> lost) {
+        glare_lost_ = std::move(lost);
+    }
     void run_due();
     Instant next_due() const;
     const FrontCounts& counts() const { return counts_; }
@@ -87,17 +97,19 @@
     friend class Trunk;
 
     int own_number_;
-    std::uint32_t life_;
     Time time_;
     CallerEvents& callers_;
     SwitchEvents& switches_;
     const CallTable& table_;
-    Ledger* ledger_;
+    Ledger* ledger_ = nullptr;
     std::function<void(Instant)> earlier_;
     std::function<void(Trunk&)> output_;
     std::function<void(const Trunk&, const Freed&)> freed_;
+    std::function<void(const Trunk&, const CallId&)> glare_lost_;
     std::map<std::uint32_t, std::unique_ptr<Trunk>> trunks_;
     std::map<ExchangeId, Trunk*> by_exchange_;
+    std::vector<ListedExchange> lines_;
+    bool retired_ = false;
     FrontCounts counts_;
 };
 
--- a/src/trunk/group.cpp
+++ b/src/trunk/group.cpp
@@ -30,11 +30,14 @@
 }
 
 Group::Group(const GroupRules& rules, std::uint32_t life)
-    : rules_(rules),
-      circuits_(rules.circuits),
-      audit_(rules.audit),
-      next_ref_(static_cast<CallRef>(rules.ends.higher()) << 63 | static_cast<CallRef>(life & 0x7fffffff)
-                                                                      << 32) {}
+    : rules_(rules), circuits_(rules.circuits), audit_(rules.audit) {
+    begin(life);
+}
+
+void Group::begin(std::uint32_t life) {
+    next_ref_ = static_cast<CallRef>(rules_.ends.higher()) << 63 | static_cast<CallRef>(life & 0x7fffffff)
+                                                                       << 32;
+}
 
 const Leg* Group::leg(CallRef ref) const {
     const auto at = legs_.find(ref);
--- a/src/trunk/group.hpp
+++ b/src/trunk/group.hpp
@@ -98,6 +98,7 @@
    public:
     // `life` differs from one start of this end to the next; 31 bits count.
     Group(const GroupRules& rules, std::uint32_t life);
+    void begin(std::uint32_t life);  // another one, before the first call
 
     // ---- At the start, from a ledger
     // False: a circuit of it does not exist or is another call's.
@@ -172,7 +173,7 @@
     Legs legs_;
     Audit audit_;
     GroupCounts counts_;
-    CallRef next_ref_;
+    CallRef next_ref_ = 0;
     bool up_ = false, synced_ = false;
     Instant down_since_{};
     bool held_on_ = false;  // calls stand over the link that is down
--- a/src/trunk/session.hpp
+++ b/src/trunk/session.hpp
@@ -42,8 +42,9 @@
 
     Session(const LinkIdentity& identity, std::uint32_t life, LinkEvents& events);
 
-    void connected();     // a connection is there: our hello goes out
-    void disconnected();  // the connection has gone, or is about to be closed
+    void begin(std::uint32_t life) { life_ = life; }  // another one, before the first connection
+    void connected();                                 // a connection is there: our hello goes out
+    void disconnected();                              // the connection has gone, or is about to be closed
     // What was read. False: the connection is to be closed, once what is in output() has been written.
     bool fed(std::string_view bytes);
     void send(const Message& message);  // now, or on the next connection
--- a/tests/net/calls_test.cpp
+++ b/tests/net/calls_test.cpp
@@ -4,8 +4,8 @@
 #include <string>
 #include <vector>
 
-#include "check.hpp"
 #include "calls/gatekeeper.hpp"
+#include "check.hpp"
 
 using namespace nettlestall;
 using namespace std::chrono_literals;
--- a/tests/net/codec_test.cpp
+++ b/tests/net/codec_test.cpp
@@ -304,6 +304,12 @@
 }
 
 struct Desk final : OperatorEvents {
+    std::optional<OperatorReply> other(std::string_view method, std::string_view path,
+                                       std::string_view query) override {
+        if (path != "/other") return std::nullopt;
+        if (method != "GET") return OperatorReply{405, "GET"};
+        return OperatorReply{query.empty() ? 409 : 200, std::string(query)};
+    }
     bool in = true;
     std::string ordered;
     bool ready() override { return in; }
--- a/tests/net/loopback.hpp
+++ b/tests/net/loopback.hpp
@@ -109,6 +109,18 @@
             inbox_.filled(static_cast<std::size_t>(bytes));
         }
     }
+    // What has come by now; waits for nothing unless nothing has. False: the far end has closed.
+    template <class F>
+    bool drain(F&& take) {
+        const auto space = inbox_.space();
+        const ssize_t bytes = ::recv(fd_.get(), space.data(), space.size(), 0);
+        if (bytes <= 0) return false;
+        inbox_.filled(static_cast<std::size_t>(bytes));
+        Inbox::Next next;
+        for (Message message; (next = inbox_.next(message)) == Inbox::Next::message;) take(message);
+        CHECK(next == Inbox::Next::more);
+        return true;
+    }
     int fd() const { return fd_.get(); }
     bool closed_by_far_end() {
         char byte = 0;
@@ -155,7 +167,9 @@
 class Program {
    public:
     // `operators`: the operators' port; `shared`: the folder that it shares with the one before and after it.
-    Program(const char* path, const std::string& config, int operators = 0, const std::string& shared = "")
+    // `file`: the operator's own file, if there is one; then it is `serve` that is run.
+    Program(const char* path, const std::string& config, int operators = 0, const std::string& shared = "",
+            const std::string& file = "")
         : stem_("/tmp/program_test." + std::to_string(getpid()) + '.' + std::to_string(++count())) {
         const std::string at = own_address() + ':' + std::to_string(operators);
         configure(config);
@@ -168,7 +182,8 @@
             operators ? setenv("BALANCER_OPERATOR", at.c_str(), 1) : unsetenv("BALANCER_OPERATOR");
             shared.empty() ? unsetenv("TMPDIR") : setenv("TMPDIR", shared.c_str(), 1);
             dup2(open((stem_ + ".log").c_str(), O_CREAT | O_TRUNC | O_WRONLY, 0600), 2);
-            execl(path, path, nullptr);
+            if (file.empty()) execl(path, path, nullptr);
+            execl(path, path, "serve", "--file", file.c_str(), nullptr);
             _exit(127);
         }
     }
--- /dev/null
+++ b/tests/trunk/glare_test.cpp
@@ -0,0 +1,91 @@
+// Simultaneous seizures between two processes: both ends' callers call at the same moment, over and over. One
+// answer a call, and nothing stays busy. The second word is for how many seconds.
+#include <poll.h>
+
+#include <chrono>
+#include <map>
+
+#include "trunk/hubs.hpp"
+
+using namespace nettlestall::test;
+using nettlestall::CallId;
+
+namespace {
+
+struct Tally {
+    int calls = 0, answered = 0, turned_away = 0;
+    std::map<CallId, int> finals;
+};
+
+int figure(int port, const std::string& name) {
+    const std::string text = operators(port, "GET /metrics");
+    const auto at = text.find(name + ":");
+    return at == std::string::npos ? 0 : std::atoi(text.c_str() + at + name.size() + 1);
+}
+
+}  // namespace
+
+int main(int count, char** words) {
+    const double seconds = count > 2 ? std::atof(words[2]) : 3.0;
+    Hubs hubs(words[1], 4, false);
+    Peer lines[2] = {hubs.lines(Hubs::a), hubs.lines(Hubs::b)};
+    hubs.await_link();
+    Peer callers[2] = {Peer::connect(hubs.at(Hubs::a).callers), Peer::connect(hubs.at(Hubs::b).callers)};
+    Tally tally;
+    std::uint64_t number = 0;
+    const auto end = std::chrono::steady_clock::now() + std::chrono::duration<double>(seconds);
+    while (std::chrono::steady_clock::now() < end) {
+        std::string bytes[2];
+        std::map<CallId, int> open;
+        for (int i = 0; i < 2; ++i)
+            for (int h = 0; h < 2; ++h) {
+                char id[17];
+                std::snprintf(id, sizeof id, "%016llx", static_cast<unsigned long long>(++number));
+                // Three of four circuits: two such calls can't both stand.
+                bytes[h] += Hubs::call_to(id, 2 - h, i == 0 ? "live-board" : "move", 2000);
+                open[id] = h;
+                ++tally.calls;
+            }
+        callers[0].say(bytes[0]), callers[1].say(bytes[1]);
+        while (!open.empty()) {
+            pollfd sources[4] = {{callers[0].fd(), POLLIN, 0},
+                                 {callers[1].fd(), POLLIN, 0},
+                                 {lines[0].fd(), POLLIN, 0},
+                                 {lines[1].fd(), POLLIN, 0}};
+            CHECK(poll(sources, 4, kPatienceSeconds * 1000) > 0);
+            for (int h = 0; h < 2; ++h) {
+                if (sources[2 + h].revents)
+                    CHECK(lines[h].drain([&](const Message& message) {
+                        if (message.type == Type::set_up) lines[h].say(answer(message.call()));
+                    }));
+                if (sources[h].revents)
+                    CHECK(callers[h].drain([&](const Message& message) {
+                        const CallId call = message.call();
+                        if (message.type == Type::answer) {
+                            ++tally.answered, ++tally.finals[call];
+                            callers[h].say(release(call, 16));
+                        } else if (message.type == Type::release) {
+                            ++tally.turned_away, ++tally.finals[call];
+                        } else {
+                            return;
+                        }
+                        open.erase(call);
+                    }));
+            }
+        }
+    }
+    CHECK(static_cast<int>(tally.finals.size()) == tally.calls);
+    for (const auto& [call, finals] : tally.finals) CHECK(finals == 1);
+    hubs.await_idle();
+    int glares = 0, lost = 0, seizures = 0;
+    for (int h = 0; h < 2; ++h) {
+        glares += figure(hubs.at(h).operators, "app.trunk.7.glares");
+        lost += figure(hubs.at(h).operators, "app.trunk.7.glares_lost");
+        seizures += figure(hubs.at(h).operators, "app.trunk.7.seizures");
+        CHECK(figure(hubs.at(h).operators, "app.trunk.7.audit_freed") == 0);
+        CHECK(figure(hubs.at(h).operators, "app.trunk.7.contradictions") == 0);
+    }
+    std::printf("%d calls, %d answered, %d refused or failed; %d seizures, %d glares lost\n", tally.calls,
+                tally.answered, tally.turned_away, seizures, lost);
+    CHECK(lost > 0 && glares >= lost);
+}
--- /dev/null
+++ b/tests/trunk/hubs.hpp
@@ -0,0 +1,123 @@
+// Two real gatekeepers joined by a circuit group on loopback, with callers and lines of the test's own.
+#pragma once
+
+#include <filesystem>
+#include <memory>
+
+#include "net/loopback.hpp"
+
+namespace nettlestall::test {
+
+struct Hubs {
+    enum { a, b };
+
+    struct Hub {
+        int callers = Listener().port(), operators = Listener().port(), trunk = Listener().port();
+        Listener lines;
+        std::string folder, file;
+        std::unique_ptr<Program> program;
+    };
+
+    // `ledgers`: the hubs have a folder for theirs. Calls may be `live-board`, three circuits wide.
+    Hubs(const char* path, int circuits, bool ledgers, const std::string& parts = "") : path_(path) {
+        for (int h : {a, b}) {
+            Hub& hub = at(h);
+            hub.folder = "/tmp/trunk_test." + std::to_string(getpid()) + '.' + std::to_string(++count()) +
+                         (h ? "b" : "a");
+            std::filesystem::create_directories(hub.folder);
+            hub.file = hub.folder + "/nettlestall.xml";
+            write_file(h, circuits, ledgers, parts);
+        }
+        for (int h : {a, b}) start(h);
+    }
+    ~Hubs() {
+        for (int h : {a, b}) {
+            at(h).program.reset();
+            std::filesystem::remove_all(at(h).folder);
+        }
+    }
+
+    Hub& at(int h) { return hubs_[h]; }
+
+    void write_file(int h, int circuits, bool ledgers, const std::string& parts = "") {
+        Hub& hub = at(h);
+        const std::string own = std::to_string(h + 1), far = std::to_string(2 - h);
+        std::ofstream(hub.file) << "<nettlestall><log level=\"debug\"/><trunk point=\"" << own
+                                << "0\" number=\"" << own << "\" listen=\"" << own_address() << ':'
+                                << hub.trunk << '"' << (ledgers ? " ledger=\"" + hub.folder + "\"" : "")
+                                << "><lines exchange=\"lines-" << own << "\" number=\"" << own
+                                << "\" address=\"" << hub.lines.address() << "\"/>"
+                                << "<group id=\"7\" exchange=\"hub-" << far << "\" number=\"" << far
+                                << "\" far-point=\"" << far << "0\" circuits=\"" << circuits << '"'
+                                << (h == a
+                                        ? " dial=\"" + own_address() + ':' + std::to_string(at(b).trunk) + '"'
+                                        : "")
+                                << '>' << parts << "</group></trunk></nettlestall>";
+    }
+    std::string config(int h) {
+        return R"({"name":"hub-)" + std::to_string(h + 1) + R"(","listen":")" + own_address() + ':' +
+               std::to_string(at(h).callers) +
+               R"(","limits":{"sockets":64},"settings":{"self_index":0,"fleet_size":2,)"
+               R"("family_info":{"release_s":0.3,"class_width":[1,3]},"grades":[{"name":"move","aim_s":20,)"
+               R"("deadline_s":90},{"name":"live-board","points":3,"aim_s":20,"deadline_s":90}],)"
+               R"("limits":{"send_cap":5,"open_cap":1000,"dial_timeout_s":10},)"
+               R"("obligations":{"drain_grace_s":0.5,"grace_to_answer_s":0.02}}})";
+    }
+    void start(int h) {
+        at(h).program =
+            std::make_unique<Program>(path_, config(h), at(h).operators, at(h).folder, at(h).file);
+    }
+    // Kills it outright and starts it anew.
+    void crash(int h) {
+        at(h).program.reset();
+        start(h);
+    }
+    Peer lines(int h) {
+        Peer peer = at(h).lines.accept();
+        peer.say(group("x0:500;x1:500"));
+        return peer;
+    }
+    void await_link() {
+        for (int h : {a, b})
+            while (operators(at(h).operators, "GET /circuits").find(" up ") == std::string::npos)
+                usleep(5000);
+    }
+    std::string circuits(int h, const std::string& more = "/7?all=1") {
+        return operators(at(h).operators, "GET /circuits" + more);
+    }
+    int busy(int h) {
+        const std::string text = circuits(h);
+        int found = 0;
+        for (std::size_t at = text.find('\n', text.find("circuit ")) + 1; at < text.size();
+             at = text.find('\n', at) + 1)
+            found += text.substr(at, text.find('\n', at) - at).find(" idle ") == std::string::npos;
+        return found;
+    }
+    void await_idle() {
+        for (int h : {a, b})
+            while (busy(h) > 0) usleep(5000);
+    }
+
+    static std::string call_to(const CallId& call, int to, const char* service_class = "move",
+                               int patience_ms = 20'000) {
+        const int width = std::string(service_class) == "live-board" ? 3 : 1;
+        const Frame frame = FrameBuilder(Type::set_up, call)
+                                .text(Code::service_class, service_class)
+                                .text(Code::patience, std::to_string(patience_ms))
+                                .text(Code::number, "7f3a")
+                                .text(Code::figures, "dest:" + std::to_string(to) +
+                                                         ";width:" + std::to_string(width) + ";via:-1")
+                                .done(std::make_shared<const std::string>("offer of " + call));
+        return frame.head + *frame.tail;
+    }
+
+   private:
+    static int& count() {
+        static int pairs = 0;
+        return pairs;
+    }
+    const char* path_;
+    Hub hubs_[2];
+};
+
+}  // namespace nettlestall::test
