--- a/src/calls/gatekeeper.cpp
+++ b/src/calls/gatekeeper.cpp
@@ -19,21 +19,21 @@
 }  // namespace
 
 Gatekeeper::Gatekeeper(const Settings& settings, std::uint64_t seed, Time time, Switches& switches,
-                       Counters& counters, std::size_t most_held)
+                       Counters& counters, const Bounds& bounds)
     : settings_(settings),
       control_(settings, seed),
       time_(std::move(time)),
       switches_(switches),
       counters_(counters),
-      most_held_(most_held),
+      bounds_(bounds),
       started_(time_()) {
     for (const ClassSettings& named : settings_.classes) replies_.push_back({.service_class = named.name});
 }
 
-void Gatekeeper::take(const Settings& settings, std::size_t most_held) {
+void Gatekeeper::take(const Settings& settings, const Bounds& bounds) {
     settings_ = settings;
     control_.take(settings);
-    most_held_ = most_held;
+    bounds_ = bounds;
 }
 
 // ---- The module ------------------------------------------------------------------------------------
@@ -214,32 +214,6 @@
     call.number.clear();
 }
 
-const ExchangeId* Gatekeeper::whereabouts(const CallId& call) const {
-    const auto at = calls_.find(call);
-    static const ExchangeId kNone;
-    if (at == calls_.end()) return nullptr;
-    return at->second.phase == Phase::waiting ? &kNone : &at->second.at;
-}
-
-std::string_view Gatekeeper::origin_of(const CallId& call) const {
-    const auto at = calls_.find(call);
-    return at == calls_.end() ? std::string_view{} : std::string_view(at->second.origin);
-}
-
-std::vector<CallId> Gatekeeper::calls_at(const ExchangeId& exchange) const {
-    std::vector<CallId> found;
-    for (const auto& [id, call] : calls_)
-        if (call.phase != Phase::waiting && call.at == exchange) found.push_back(id);
-    return found;
-}
-
-std::vector<CallId> Gatekeeper::calls_from(const CallerLink& link) const {
-    std::vector<CallId> found;
-    for (const auto& [id, call] : calls_)
-        if (call.link == &link) found.push_back(id);
-    return found;
-}
-
 // ---- Callers ---------------------------------------------------------------------------------------
 
 void Gatekeeper::offered(CallerLink& link, const Offer& offer) {
@@ -256,7 +230,7 @@
                                     [&](const ClassSettings& c) { return c.name == offer.service_class; });
     // A drain's refusals are for connections that never pause: each is to have its last answer and be closed.
     const bool full =
-        takes_none() || held_ + offer.description.size() > most_held_ ||
+        takes_none() || at_the_bound() || held_ + offer.description.size() > bounds_.held ||
         (settings_.max_open_calls > 0 && unanswered_ >= static_cast<std::size_t>(settings_.max_open_calls));
     if (named == settings_.classes.end() || !makes_sense(offer, *named) || full) {
         ++(full ? counters_.refused : counters_.failed);
@@ -317,12 +291,6 @@
     abandon(at);
 }
 
-void Gatekeeper::release_standing(Calls::iterator at) {
-    ++counters_.released;
-    switches_.release(at->second.at, at->first);
-    end_standing(at, Outcome::cancelled, {}, false);
-}
-
 // The caller waits no longer: no answer is owed, and what is out is given up.
 void Gatekeeper::abandon(Calls::iterator at) {
     const CallId id = at->first;
@@ -477,22 +445,6 @@
                       .load = load});
 }
 
-void Gatekeeper::end_standing(Calls::iterator at, Outcome outcome, const LoadReport& load, bool tell_caller) {
-    const CallId id = at->first;
-    const Call call = std::move(at->second);
-    calls_.erase(at);
-    if (call.link) --call.link->use.standing;
-    ++(outcome == Outcome::reset ? counters_.cut : counters_.ended);
-    if (tell_caller) release_caller(id, call, outcome == Outcome::reset ? Ending::cut : Ending::ended);
-    tell(AttemptEnded{.call = id,
-                      .attempt = call.attempts - 1,
-                      .exchange = call.at,
-                      .outcome = outcome,
-                      .final = true,
-                      .lag = time_() - call.sent,
-                      .load = load});
-}
-
 void Gatekeeper::group_state(const ExchangeId& exchange, const LoadReport& load) {
     if (load.free_circuits < 0 || load.group_size < 0) return;
     ++counters_.group_states;
@@ -504,60 +456,6 @@
     cut_standing(exchange);
 }
 
-void Gatekeeper::cut_standing(const ExchangeId& exchange) {
-    std::vector<CallId> standing;
-    for (const auto& [id, call] : calls_)
-        if (call.phase == Phase::standing && call.at == exchange) standing.push_back(id);
-    for (const CallId& id : standing)
-        if (const auto at = calls_.find(id); at != calls_.end()) end_standing(at, Outcome::reset, {}, true);
-}
-
-// ---- Another process -------------------------------------------------------------------------------
-
-void Gatekeeper::give_way_to(Successor* successor) {
-    successor_ = successor;
-    std::vector<CallId> standing;
-    for (const auto& [id, call] : calls_)
-        if (call.phase == Phase::standing) standing.push_back(id);
-    for (const CallId& id : standing)
-        if (const auto at = calls_.find(id); successor_ && at != calls_.end()) pass_on(at);
-}
-
-// Guards against releases that nobody passes on once this process has ended: from now on the other one owns
-// the call. The module here sees it as over.
-void Gatekeeper::pass_on(Calls::iterator standing) {
-    const CallId id = standing->first;
-    const Call call = std::move(standing->second);
-    calls_.erase(standing);
-    if (call.link) --call.link->use.standing;
-    successor_->stands(call.at, id, call.origin);
-    tell(AttemptEnded{.call = id, .attempt = call.attempts - 1, .exchange = call.at, .final = true});
-}
-
-void Gatekeeper::take_standing(const ExchangeId& at, const CallId& id, std::string_view origin,
-                               CallerLink* link) {
-    if (successor_) return successor_->stands(at, id, origin);  // upgraded again meanwhile
-    const auto [entry, fresh] = calls_.try_emplace(id);
-    if (!fresh) return;
-    ++counters_.calls_taken_over;
-    Call& call = entry->second;
-    call.phase = Phase::standing;
-    call.at = at;
-    call.origin = origin;
-    call.link = link;
-    if (link) ++link->use.standing;
-    call.sent = time_();
-    call.attempts = 1;
-    // The machine has gone, as this process knows already: the call was cut with it.
-    if (!exchanges_.count(at)) end_standing(entry, Outcome::reset, {}, true);
-}
-
-void Gatekeeper::take_release(const CallId& id) {
-    const auto at = calls_.find(id);
-    if (at != calls_.end() && at->second.phase == Phase::standing) return release_standing(at);
-    if (at == calls_.end() && successor_) successor_->released(id);
-}
-
 // ---- The list --------------------------------------------------------------------------------------
 
 void Gatekeeper::list(const ListEvent& event) {
--- a/src/calls/gatekeeper.hpp
+++ b/src/calls/gatekeeper.hpp
@@ -21,9 +21,13 @@
    public:
     using Time = std::function<Instant()>;
 
-    // `most_held`: bytes of descriptions of calls without an answer; beyond it set-ups are refused.
+    // Beyond these set-ups are refused at once, with the cause that makes trying again harmless.
+    struct Bounds {
+        std::size_t held = 32 * 1024 * 1024;  // bytes of descriptions of calls without an answer
+        std::size_t calls = 1'000'000;        // without an answer and standing together
+    };
     Gatekeeper(const Settings& settings, std::uint64_t seed, Time time, Switches& switches,
-               Counters& counters, std::size_t most_held = 32 * 1024 * 1024);
+               Counters& counters, const Bounds& bounds);
 
     // Whoever runs the timers hears of each earlier moment.
     void on_schedule(std::function<void(Instant)> earlier) { earlier_ = std::move(earlier); }
@@ -34,7 +38,7 @@
 
     // New settings in service: calls, timers and what was learned go on.
     bool can_take(const Settings& settings) const { return control_.can_take(settings); }
-    void take(const Settings& settings, std::size_t most_held);
+    void take(const Settings& settings, const Bounds& bounds);
 
     // From the front's tests on nothing new is wanted. What comes all the same is answered by `end`.
     void leave(Instant end) { leaving_ = true, end_ = end; }
@@ -54,6 +58,13 @@
                        CallerLink* link = nullptr);
     void take_release(const CallId& call);
 
+    struct OldCall {
+        CallId call;
+        ExchangeId at;
+        Duration age;  // since its set-up went there
+    };
+    std::vector<OldCall> oldest(std::size_t most) const;  // of those that stand, the oldest first
+
     std::size_t unanswered() const { return unanswered_; }
     std::size_t calls() const { return calls_.size(); }
     struct Replies {  // final answers passed on to callers of one class
@@ -163,6 +174,7 @@
     void count(std::string_view service_class, std::uint64_t Replies::*reply);
     static bool makes_sense(const Offer& offer, const ClassSettings& service_class);
     void cut_standing(const ExchangeId& at);
+    bool at_the_bound();  // of calls in the table
 
     Settings settings_;
     CallControl control_;
@@ -175,7 +187,9 @@
 
     Calls calls_;
     std::size_t unanswered_ = 0;
-    std::size_t held_ = 0, most_held_;
+    std::size_t held_ = 0;
+    Bounds bounds_;
+    Instant next_bound_note_{};
     std::map<ExchangeId, Exchange> exchanges_;
     std::vector<CallerLink*> links_;
     struct Owed {
--- a/src/lab/hub.cpp
+++ b/src/lab/hub.cpp
@@ -150,9 +150,8 @@
     explicit Process(Hub& hub)
         : lines(hub),
           routes(lines),
-          gatekeeper(
-              module_settings(hub.settings_), hub.life_, [&hub] { return hub.simulation_.now(); }, routes,
-              counters),
+          gatekeeper(module_settings(hub.settings_), hub.life_, [&hub] { return hub.simulation_.now(); },
+                     routes, counters, {}),
           front(
               hub.settings_.number, [&hub] { return hub.simulation_.now(); }, gatekeeper, gatekeeper,
               gatekeeper),
--- /dev/null
+++ b/src/lab/live.cpp
@@ -0,0 +1,328 @@
+#include "lab/live.hpp"
+
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <memory>
+#include <stdexcept>
+#include <vector>
+
+#include "lab/simulation.hpp"
+#include "net/connection.hpp"
+
+namespace nettlestall::lab {
+namespace {
+
+using namespace protocol;
+using net::tcp;
+using net::asio::awaitable;
+using net::asio::use_awaitable;
+using std::chrono::milliseconds;
+
+constexpr const char* kHost = "127.0.0.1";
+constexpr Duration kHolds = std::chrono::seconds(1);  // mean
+constexpr double kWideShare = 0.1;
+constexpr milliseconds kTick{50};
+constexpr auto kReady = std::chrono::seconds(10), kDrains = std::chrono::seconds(15);
+
+// Cuts what a connection brings into messages, in place.
+struct Reader {
+    Inbox inbox;
+    std::function<void(const Message&)> take;
+    std::span<char> space() { return inbox.space(); }
+    bool fed(std::size_t bytes) {
+        return inbox.fed(bytes, [this](const Message& message) { return take(message), true; });
+    }
+};
+
+// A gatekeeper as a child process, in a folder of its own; it ends with this one.
+class Child {
+   public:
+    Child(const std::string& program, const std::string& folder, int operators) {
+        pid_ = fork();
+        if (pid_ != 0) return;
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
+        setenv("BALANCER_CONFIG", (folder + "/config.json").c_str(), 1);
+        setenv("BALANCER_OPERATOR", (std::string(kHost) + ':' + std::to_string(operators)).c_str(), 1);
+        setenv("TMPDIR", folder.c_str(), 1);
+        unsetenv("BALANCER_LISTEN"), unsetenv("BALANCER_NAME");
+        if (!std::freopen((folder + "/log").c_str(), "w", stderr)) _exit(127);
+        execl(program.c_str(), program.c_str(), "serve", "--file", (folder + "/nettlestall.xml").c_str(),
+              nullptr);
+        _exit(127);
+    }
+    ~Child() {
+        if (pid_ <= 0) return;
+        kill(pid_, SIGTERM);
+        waitpid(pid_, nullptr, 0);
+    }
+    Child(const Child&) = delete;
+
+   private:
+    pid_t pid_ = -1;
+};
+
+struct Tally {
+    std::map<CallId, int> finals;  // by call: final answers
+    std::uint64_t placed = 0, answered = 0, turned_away = 0, ended = 0;
+    int standing = 0;
+};
+
+struct Hub {
+    int number = 0, callers = 0, operators = 0, trunk = 0, lines = 0;
+    std::string folder;
+    std::unique_ptr<Child> child;
+    std::unique_ptr<tcp::acceptor> lines_acceptor;
+    std::shared_ptr<net::Connection> caller, line;
+    Reader caller_reader, line_reader;
+};
+
+class Live {
+   public:
+    explicit Live(const LiveSettings& settings) : settings_(settings), chance_(settings.seed), clock_(io_) {
+        folder_ = (std::filesystem::temp_directory_path() / ("nettlestall-live." + std::to_string(getpid())))
+                      .string();
+        for (int h = 0; h < 2; ++h) {
+            Hub& hub = hubs_[h];
+            hub.number = h + 1;
+            hub.folder = folder_ + "/hub-" + std::to_string(hub.number);
+            std::filesystem::create_directories(hub.folder);
+            for (int* port : {&hub.callers, &hub.operators, &hub.trunk}) *port = free_port();
+            hub.lines_acceptor =
+                std::make_unique<tcp::acceptor>(io_, tcp::endpoint(net::asio::ip::make_address(kHost), 0));
+            hub.lines = hub.lines_acceptor->local_endpoint().port();
+        }
+    }
+    ~Live() {
+        for (Hub& hub : hubs_) hub.child.reset();
+        std::error_code none;
+        std::filesystem::remove_all(folder_, none);
+    }
+
+    int run() {
+        for (int h = 0; h < 2; ++h) write_files(hubs_[h], hubs_[1 - h]);
+        for (Hub& hub : hubs_) {
+            net::spawn(io_, serve_lines(hub));
+            hub.child = std::make_unique<Child>(settings_.program, hub.folder, hub.operators);
+        }
+        std::printf(
+            "two gatekeepers, one group of %d circuits; callers at ports %d and %d, operators at %d and %d\n",
+            settings_.circuits, hubs_[0].callers, hubs_[1].callers, hubs_[0].operators, hubs_[1].operators);
+        net::spawn(io_, play());
+        io_.run();
+        return result_;
+    }
+
+   private:
+    int free_port() {
+        tcp::acceptor probe(io_, tcp::endpoint(net::asio::ip::make_address(kHost), 0));
+        return probe.local_endpoint().port();
+    }
+    static std::string at(int port) { return std::string(kHost) + ':' + std::to_string(port); }
+
+    void write_files(const Hub& hub, const Hub& far) const {
+        const std::string own = std::to_string(hub.number), other = std::to_string(far.number);
+        std::ofstream(hub.folder + "/nettlestall.xml")
+            << "<nettlestall>\n <trunk point=\"" << own << "0\" number=\"" << own << "\" listen=\""
+            << at(hub.trunk) << "\" ledger=\"" << hub.folder << "\">\n  <lines exchange=\"lines-" << own
+            << "\" number=\"" << own << "\" address=\"" << at(hub.lines)
+            << "\"/>\n  <group id=\"1\" exchange=\"hub-" << other << "\" number=\"" << other
+            << "\" far-point=\"" << other << "0\" circuits=\"" << settings_.circuits << '"'
+            << (hub.number < far.number ? " dial=\"" + at(far.trunk) + '"' : "")
+            << "><audit every-s=\"2\" patience-s=\"1\"/></group>\n </trunk>\n</nettlestall>\n";
+        std::ofstream(hub.folder + "/config.json")
+            << R"({"name":"hub-)" << own << R"(","listen":")" << at(hub.callers)
+            << R"(","settings":{"self_index":0,"fleet_size":2,"family_info":{"release_s":0.3,"class_width":[1,3]},)"
+            << R"("grades":[{"name":"move","aim_s":1,"deadline_s":3},{"name":"live-board","points":3,"aim_s":1,)"
+            << R"("deadline_s":3}],"limits":{"send_cap":5,"open_cap":1000},)"
+            << R"("obligations":{"drain_grace_s":0.5,"grace_to_answer_s":0.02}}})" << '\n';
+    }
+
+    // ---- Lines: every number answers soon, talks for a while and hangs up, or waits for the caller to
+
+    awaitable<void> serve_lines(Hub& hub) {
+        for (;;) {
+            auto [error, socket] =
+                co_await hub.lines_acceptor->async_accept(net::asio::as_tuple(use_awaitable));
+            if (error) co_return;
+            hub.line = std::make_shared<net::Connection>(std::move(socket), counters_);
+            hub.line->send(FrameBuilder(Type::group_state, "").text(Code::report, "x0:500;x1:500").done());
+            hub.line_reader = {};
+            hub.line_reader.take = [this, &hub](const Message& message) {
+                if (message.type == Type::set_up)
+                    after(chance_.between(milliseconds(20), milliseconds(120)),
+                          [this, &hub, call = message.call()] {
+                              hub.line->send(FrameBuilder(Type::answer, call)
+                                                 .done(std::make_shared<const std::string>("media")));
+                              if (chance_.once_in(0.5))
+                                  after(chance_.exponential(kHolds), [&hub, call] {
+                                      hub.line->send(
+                                          FrameBuilder(Type::release, call).cause(cause::kGivenUp).done());
+                                  });
+                          });
+            };
+            co_await hub.line->read_into(hub.line_reader, [] {});
+        }
+    }
+
+    // ---- Callers
+
+    void place_call(Hub& hub, const Hub& to) {
+        char id[17];
+        std::snprintf(id, sizeof id, "%04x%012llx", hub.number,
+                      static_cast<unsigned long long>(++tally_.placed));
+        const bool wide = chance_.once_in(kWideShare);
+        tally_.finals[id] = 0;
+        hub.caller->send(FrameBuilder(Type::set_up, id)
+                             .text(Code::service_class, wide ? "live-board" : "move")
+                             .text(Code::patience, "2500")
+                             .text(Code::number, "7f3a")
+                             .text(Code::figures, "dest:" + std::to_string(to.number) +
+                                                      ";width:" + (wide ? "3" : "1") + ";via:-1")
+                             .done(std::make_shared<const std::string>("media offered")));
+    }
+
+    void heard(Hub& hub, const Message& message) {
+        const CallId call = message.call();
+        const auto known = tally_.finals.find(call);
+        if (known == tally_.finals.end()) return;
+        if (message.type == Type::answer) {
+            ++known->second, ++tally_.answered, ++tally_.standing;
+            stands_[call] = true;
+            after(3 * chance_.exponential(kHolds), [this, &hub, call] {
+                if (!stands_.erase(call)) return;  // the line has hung up before
+                --tally_.standing, ++tally_.ended;
+                hub.caller->send(FrameBuilder(Type::release, call).cause(cause::kGivenUp).done());
+            });
+        } else if (message.type == Type::release && stands_.erase(call)) {
+            --tally_.standing, ++tally_.ended;
+        } else if (message.type == Type::release) {
+            ++known->second, ++tally_.turned_away;
+        }
+    }
+
+    awaitable<void> call_in(Hub& hub) {
+        tcp::socket socket(io_);
+        const auto limit = std::chrono::steady_clock::now() + kReady;
+        while (co_await net::connect(socket, *net::to_endpoint(at(hub.callers)), milliseconds(500))) {
+            if (std::chrono::steady_clock::now() > limit)
+                throw std::runtime_error("a gatekeeper does not come up");
+            socket = tcp::socket(io_);
+            co_await wait(kTick);
+        }
+        hub.caller = std::make_shared<net::Connection>(std::move(socket), counters_);
+        hub.caller_reader.take = [this, &hub](const Message& message) { heard(hub, message); };
+        net::spawn(io_, listen(hub));
+    }
+    awaitable<void> listen(Hub& hub) {
+        co_await hub.caller->read_into(hub.caller_reader, [] {});
+    }
+
+    // ---- The play
+
+    awaitable<void> wait(Duration time) {
+        net::asio::steady_timer timer(io_, time);
+        co_await timer.async_wait(use_awaitable);
+    }
+    void after(Duration time, std::function<void()> work) {
+        auto timer = std::make_shared<net::asio::steady_timer>(io_, time);
+        timer->async_wait([timer, work = std::move(work)](const boost::system::error_code& stopped) {
+            if (!stopped) work();
+        });
+    }
+
+    // A figure of the group at that hub's operators' address; -1: no answer.
+    awaitable<long> figure(const Hub& hub, std::string name) {
+        tcp::socket socket(io_);
+        if (co_await net::connect(socket, *net::to_endpoint(at(hub.operators)), milliseconds(500)))
+            co_return -1;
+        const std::string request = "GET /metrics HTTP/1.1\r\nHost: gatekeeper\r\n\r\n";
+        co_await net::asio::async_write(socket, net::asio::buffer(request),
+                                        net::asio::as_tuple(use_awaitable));
+        std::string reply;
+        co_await net::asio::async_read(socket, net::asio::dynamic_buffer(reply),
+                                       net::asio::as_tuple(use_awaitable));
+        const auto found = reply.find("app.trunk.1." + name + ':');
+        co_return found == std::string::npos ? -1 : std::atol(reply.c_str() + reply.find(':', found) + 1);
+    }
+
+    awaitable<void> play() {
+        for (Hub& hub : hubs_) co_await call_in(hub);
+        const auto ready = std::chrono::steady_clock::now() + kReady;
+        for (Hub& hub : hubs_)
+            while (co_await figure(hub, "up") != 1) {
+                if (std::chrono::steady_clock::now() > ready)
+                    throw std::runtime_error("the circuit group does not come up");
+                co_await wait(kTick);
+            }
+        std::printf("the group is in service\n");
+        const double each_tick = settings_.calls_per_second * static_cast<double>(kTick.count()) / 1000.0;
+        const int ticks = static_cast<int>(settings_.seconds * 1000.0 / static_cast<double>(kTick.count()));
+        const int a_second = static_cast<int>(1000 / kTick.count());
+        double due = 0;
+        for (int tick = 1; tick <= ticks; ++tick) {
+            for (due += each_tick; due >= 1; due -= 1)
+                for (int h = 0; h < 2; ++h) place_call(hubs_[h], hubs_[1 - h]);  // both ends at one moment
+            co_await wait(kTick);
+            if (tick % a_second == 0) {
+                const long busy = co_await figure(hubs_[0], "busy");
+                std::printf(
+                    "%3d s: %6llu calls placed, %6llu answered, %4llu turned away, %3d standing, %2ld of %d "
+                    "circuits busy\n",
+                    tick / a_second, static_cast<unsigned long long>(tally_.placed),
+                    static_cast<unsigned long long>(tally_.answered),
+                    static_cast<unsigned long long>(tally_.turned_away), tally_.standing, busy,
+                    settings_.circuits);
+                std::fflush(stdout);
+            }
+        }
+        co_await summary();
+        io_.stop();
+    }
+
+    awaitable<void> summary() {
+        const auto limit = std::chrono::steady_clock::now() + kDrains;
+        long busy = 1;
+        while (std::chrono::steady_clock::now() < limit && (busy != 0 || tally_.standing > 0)) {
+            co_await wait(milliseconds(200));
+            busy = std::max(co_await figure(hubs_[0], "busy"), co_await figure(hubs_[1], "busy"));
+        }
+        std::uint64_t missing = 0, twice = 0;
+        for (const auto& [call, finals] : tally_.finals) missing += finals == 0, twice += finals > 1;
+        const long lost = co_await figure(hubs_[0], "glares_lost") + co_await figure(hubs_[1], "glares_lost");
+        std::printf(
+            "%llu calls: %llu answered, %llu turned away; %llu without an answer, %llu with two; "
+            "%ld dual seizures settled; %ld circuits busy at the end\n",
+            static_cast<unsigned long long>(tally_.placed), static_cast<unsigned long long>(tally_.answered),
+            static_cast<unsigned long long>(tally_.turned_away), static_cast<unsigned long long>(missing),
+            static_cast<unsigned long long>(twice), lost, busy);
+        result_ = missing == 0 && twice == 0 && busy == 0 ? 0 : 1;
+    }
+
+    LiveSettings settings_;
+    Chance chance_;
+    net::asio::io_context io_{1};
+    net::asio::steady_timer clock_;
+    Counters counters_;
+    std::string folder_;
+    Hub hubs_[2];
+    Tally tally_;
+    std::map<CallId, bool> stands_;
+    int result_ = 1;
+};
+
+}  // namespace
+
+int run_live(const LiveSettings& settings) {
+    return Live(settings).run();
+}
+
+}  // namespace nettlestall::lab
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -5,6 +5,7 @@
 #include <iostream>
 
 #include "lab/glare.hpp"
+#include "lab/live.hpp"
 #include "lab/search.hpp"
 
 namespace {
@@ -82,17 +83,39 @@
     });
 }
 
+void add_live(CLI::App& app, int& result) {
+    using namespace nettlestall::lab;
+    auto settings = std::make_shared<LiveSettings>();
+    CLI::App* live =
+        app.add_subcommand("live", "Two real gatekeepers on loopback, with scripted callers and lines");
+    live->add_option("--program", settings->program, "The gatekeeper")->capture_default_str();
+    live->add_option("--seconds", settings->seconds, "Of calls")
+        ->check(CLI::Range(1.0, 3600.0))
+        ->capture_default_str();
+    live->add_option("--rate", settings->calls_per_second, "Calls a second at each hub")
+        ->check(CLI::Range(0.1, 2000.0))
+        ->capture_default_str();
+    live->add_option("--circuits", settings->circuits)->check(CLI::Range(1, 2048))->capture_default_str();
+    live->add_option("--seed", settings->seed)->capture_default_str();
+    live->callback([settings, &result] { result = run_live(*settings); });
+}
+
 }  // namespace
 
 int main(int count, char** words) {
+    int result = 0;
     CLI::App app("Experiments of the gatekeeper on a virtual clock", "nettlestall_lab");
     app.require_subcommand(1);
     add_glare(app);
     add_search(app);
+    add_live(app, result);
     try {
         app.parse(count, words);
     } catch (const CLI::ParseError& problem) {
         return app.exit(problem) == 0 ? 0 : 2;
+    } catch (const std::exception& problem) {
+        std::cerr << "nettlestall_lab: " << problem.what() << '\n';
+        return 1;
     }
-    return 0;
+    return result;
 }
--- a/src/net/figures.cpp
+++ b/src/net/figures.cpp
@@ -23,4 +23,12 @@
     return text;
 }
 
+std::string oldest_calls(const calls::Gatekeeper& gatekeeper, std::size_t most) {
+    std::string text = "call at seconds\n";
+    for (const calls::Gatekeeper::OldCall& old : gatekeeper.oldest(most))
+        text += old.call + ' ' + old.at + ' ' +
+                std::to_string(std::chrono::duration_cast<std::chrono::seconds>(old.age).count()) + '\n';
+    return text;
+}
+
 }  // namespace nettlestall::net
--- a/src/net/figures.hpp
+++ b/src/net/figures.hpp
@@ -8,6 +8,9 @@
 
 namespace nettlestall::net {
 
+// A line for each: the call, where it stands, and for how many seconds.
+std::string oldest_calls(const calls::Gatekeeper& gatekeeper, std::size_t most);
+
 std::string figures(const calls::Gatekeeper& gatekeeper, const Counters& counters);
 
 }  // namespace nettlestall::net
--- a/src/program.cpp
+++ b/src/program.cpp
@@ -31,6 +31,8 @@
 constexpr Duration kLastWrites = 100ms;    // for what is refused at the end of that time
 constexpr Duration kFeedSpeaks = 4500ms;   // a new process waits for it no longer
 constexpr Duration kStopTick = 20ms;
+constexpr std::size_t kCallTakes = 800;  // bytes of a call in the table and the module, as measured: 750
+constexpr std::size_t kOldestShown = 20;
 constexpr int kNotes = 100;  // lines of the module that are logged
 
 // Unix time that never runs back: the system's clock is looked at once.
@@ -72,7 +74,7 @@
           routes_(servers_),
           gatekeeper_(
               config.settings, config.seed, [this] { return clock_.now(); }, routes_, counters_,
-              most_held(config)),
+              bounds(config)),
           clients_(io, most_clients(config), gatekeeper_, counters_),
           feed_(
               io, net::to_endpoint(config.feed), config.known,
@@ -128,6 +130,10 @@
     }
     std::optional<protocol::OperatorReply> other(std::string_view method, std::string_view path,
                                                  std::string_view query) override {
+        if (path == "/calls/oldest") {
+            if (method != "GET") return protocol::OperatorReply{405, "GET"};
+            return protocol::OperatorReply{200, net::oldest_calls(gatekeeper_, kOldestShown)};
+        }
         if (!trunk_) return std::nullopt;
         return trunk_->desk().carry_out(method, path, query);
     }
@@ -215,8 +221,10 @@
                                                  memory(config) / 2 / net::kMostBuffered));
     }
 
-    // A sixth for descriptions of waiting calls.
-    static std::size_t most_held(const config::Config& config) { return memory(config) / 6; }
+    // A sixth for descriptions of waiting calls, a fifth for the table itself.
+    static calls::Gatekeeper::Bounds bounds(const config::Config& config) {
+        return {.held = memory(config) / 6, .calls = memory(config) / 5 / kCallTakes};
+    }
 
     // Read as JSON, a line takes some ten times its length.
     static std::size_t longest_line(const config::Config& config) { return memory(config) / 128; }
@@ -273,7 +281,7 @@
             if (!gatekeeper_.can_take(fresh.settings))
                 json::bad(
                     "in 'settings': 'grades', 'layout' and 'this_node' must be the same until a restart");
-            gatekeeper_.take(fresh.settings, most_held(fresh));
+            gatekeeper_.take(fresh.settings, bounds(fresh));
             time_to_end_ = fresh.time_to_end();
             time_to_end_superseded_ = fresh.time_to_end_superseded();
             servers_.use_connect_time_out(fresh.net.connect_time_out);
--- a/tests/net/calls_test.cpp
+++ b/tests/net/calls_test.cpp
@@ -62,9 +62,9 @@
         }
         return event;
     }
-    explicit World(std::size_t most_held = 1'000'000)
-        : gatekeeper(
-              settings(), 5, [this] { return now; }, *this, counters, most_held) {
+    explicit World(std::size_t most_held = 1'000'000, std::size_t most_calls = 1'000'000)
+        : gatekeeper(settings(), 5, [this] { return now; }, *this, counters,
+                     {.held = most_held, .calls = most_calls}) {
         gatekeeper.list(all(
             {{"s-0", ExchangeState::ready}, {"s-1", ExchangeState::ready}, {"s-2", ExchangeState::ready}}));
         gatekeeper.caller_up(link);
@@ -460,7 +460,32 @@
 
 }  // namespace
 
+// Calls whose end never comes must not fill the memory: at the bound set-ups are refused at once, harmlessly,
+// and the oldest calls are named.
+void standing_calls_have_a_bound() {
+    World w(1'000'000, 3);
+    std::vector<std::string> notes;
+    w.gatekeeper.on_note([&notes](const std::string& text) { notes.push_back(text); });
+    w.open();
+    for (const char* call : {"a", "b", "c"}) {
+        w.offer(call);
+        w.gatekeeper.stands("s-1", call, "answer");
+        w.pass(2s);
+    }
+    w.offer("d"), w.offer("e");
+    CHECK(w.heard("d") == Words{"refused"} && w.heard("e") == Words{"refused"} && w.sent.size() == 3);
+    CHECK(w.gatekeeper.calls() == 3 && notes.size() == 1);
+    CHECK(
+        notes[0] ==
+        "the table is full with 3 calls; the oldest: a at s-1 for 6 s; b at s-1 for 4 s; c at s-1 for 2 s;");
+    CHECK(w.gatekeeper.oldest(1).size() == 1 && w.gatekeeper.oldest(9).front().call == "a");
+    w.gatekeeper.ended("s-1", "b", Outcome::ended, Cause::none, {});
+    w.offer("f");
+    CHECK(w.sent.size() == 4);
+}
+
 int main() {
+    standing_calls_have_a_bound();
     a_call_stands_and_ends_once();
     what_cannot_be_served_is_answered_at_once();
     a_set_up_belongs_to_its_connection();
