--- a/src/lab/glare.cpp
+++ b/src/lab/glare.cpp
@@ -42,7 +42,12 @@
 
 class Experiment {
    public:
-    explicit Experiment(const GlareSettings& settings) : settings_(settings), chance_(settings.seed) {
+    explicit Experiment(const GlareSettings& settings)
+        : settings_(settings),
+          chance_(settings.seed),
+          faults_(settings.seed ^ 0x9e3779b97f4a7c15),
+          wires_(settings.seed ^ 0xc2b2ae3d27d4eb4f),
+          people_(settings.seed ^ 0x165667b19e3779f9) {
         std::vector<HubSettings> hubs(static_cast<std::size_t>(settings.hubs));
         for (int i = 0; i < settings.hubs; ++i) {
             hubs[index(i)].number = i;
@@ -54,12 +59,12 @@
         std::uint32_t id = 0;
         for (int a = 0; a < settings.hubs; ++a)
             for (int b = a + 1; b < settings.hubs; ++b) {
-                pairs_.push_back({++id, a, b, std::make_unique<Wire>(simulation_, chance_)});
+                pairs_.push_back({++id, a, b, std::make_unique<Wire>(simulation_, wires_)});
                 hubs[index(a)].groups.push_back(group(id, a, b));
                 hubs[index(b)].groups.push_back(group(id, b, a));
             }
         for (HubSettings& hub : hubs)
-            hubs_.push_back(std::make_unique<Hub>(simulation_, chance_, truth_, std::move(hub)));
+            hubs_.push_back(std::make_unique<Hub>(simulation_, people_, truth_, std::move(hub)));
         for (Pair& pair : pairs_) {
             at(pair.a).connect(pair.id, *pair.wire);
             at(pair.b).connect(pair.id, *pair.wire);
@@ -137,8 +142,8 @@
     void seize_at_once() {
         every(seconds(5), [this] {
             const Pair& pair = any_pair();
-            for (int calls = 1 + chance_.below(3); calls > 0; --calls) {
-                const bool wide = chance_.once_in(settings_.wide_share);
+            for (int calls = 1 + faults_.below(3); calls > 0; --calls) {
+                const bool wide = faults_.once_in(settings_.wide_share);
                 at(pair.a).place_call(pair.b, wide);
                 at(pair.b).place_call(pair.a, wide);
             }
@@ -148,40 +153,44 @@
     // ---- Faults
 
     void every(Duration mean, std::function<void()> fault) {
-        simulation_.after(chance_.exponential(mean), [this, mean, fault = std::move(fault)] {
+        simulation_.after(faults_.exponential(mean), [this, mean, fault = std::move(fault)] {
             if (over()) return;
             fault();
             every(mean, fault);
         });
     }
 
-    Pair& any_pair() { return pairs_[index(chance_.below(static_cast<int>(pairs_.size())))]; }
-    int any_hub() { return chance_.below(settings_.hubs); }
+    Pair& any_pair() { return pairs_[index(faults_.below(static_cast<int>(pairs_.size())))]; }
+    int any_hub() { return faults_.below(settings_.hubs); }
 
     void start_faults() {
         seize_at_once();
         every(seconds(70), [this] { ++result_.breaks, any_pair().wire->break_off(); });
         every(seconds(150), [this] { ++result_.cuts, cut_region(); });
-        every(seconds(240), [this] { crash(any_hub()); });
-        every(seconds(900), [this] {  // both ends of a group, so that neither remembers for the other
-            const Pair& pair = any_pair();
-            crash(pair.a), crash(pair.b);
-        });
+        if (settings_.crashes) start_crashes();
         every(seconds(120), [this] {
             ++result_.stalls;
-            at(any_hub()).stall(chance_.between(milliseconds(200), seconds(10)));
+            at(any_hub()).stall(faults_.between(milliseconds(200), seconds(10)));
         });
         every(seconds(200), [this] {
             Wire& wire = *any_pair().wire;
-            wire.slow_down(chance_.between({}, milliseconds(400)));
+            wire.slow_down(faults_.between({}, milliseconds(400)));
             simulation_.after(seconds(20), [&wire] { wire.slow_down({}); });
         });
         every(seconds(25), [this] { lose_memory(); });
     }
 
+    void start_crashes() {
+        every(seconds(240), [this] { crash(any_hub()); });
+        every(seconds(900), [this] {  // both ends of a group, so that neither remembers for the other
+            const Pair& pair = any_pair();
+            crash(pair.a), crash(pair.b);
+        });
+    }
+
     // A region of some hubs loses the others for up to 19 s.
     void cut_region() {
-        const Duration length = chance_.between(milliseconds(500), seconds(19));
+        const Duration length = faults_.between(milliseconds(500), seconds(19));
         const int first = any_hub();
         for (Pair& pair : pairs_)
             if ((pair.a <= first) != (pair.b <= first) || settings_.hubs == 2) pair.wire->cut(length);
@@ -192,22 +201,22 @@
         ++result_.crashes;
         add_counts(at(hub));
         at(hub).crash();
-        const bool with_ledger = settings_.ledgers && chance_.once_in(0.7);
-        simulation_.after(chance_.between(milliseconds(200), seconds(6)),
+        const bool with_ledger = settings_.ledgers && faults_.once_in(0.7);
+        simulation_.after(faults_.between(milliseconds(200), seconds(6)),
                           [this, hub, with_ledger] { at(hub).start(with_ledger); });
     }
 
     // One end drops what it knows of a standing call: a release that is lost for good looks the same.
     void lose_memory() {
         const Pair& pair = any_pair();
-        const int hub = chance_.once_in(0.5) ? pair.a : pair.b;
+        const int hub = faults_.once_in(0.5) ? pair.a : pair.b;
         if (!at(hub).alive()) return;
         trunk::Front::Trunk& trunk = *at(hub).front()->find(pair.id);
         std::vector<trunk::CallRef> standing;
         for (const auto& [ref, leg] : trunk.group().legs())
             if (leg.state == trunk::LegState::standing) standing.push_back(ref);
         if (standing.empty() || !trunk.group().in_service()) return;
-        const trunk::CallRef ref = standing[index(chance_.below(static_cast<int>(standing.size())))];
+        const trunk::CallRef ref = standing[index(faults_.below(static_cast<int>(standing.size())))];
         ++result_.memory_faults;
         truth_.calls[trunk.group().leg(ref)->call].damaged = true;
         trunk.lose_memory_of(ref);
@@ -288,7 +297,9 @@
 
     GlareSettings settings_;
     Simulation simulation_;
-    Chance chance_;
+    // Of arrivals, faults, delays, and callers and lines, each by itself: the same traffic and the same
+    // faults meet each baseline.
+    Chance chance_, faults_, wires_, people_;
     Truth truth_;
     std::vector<Pair> pairs_;
     std::vector<std::unique_ptr<Hub>> hubs_;
--- a/src/lab/glare.hpp
+++ b/src/lab/glare.hpp
@@ -15,7 +15,7 @@
     int hubs = 2;
     int circuits = 30;  // of each group
     double load = 0.7;  // of the circuits, if every call stood
-    bool parity = true, audits = true, ledgers = true, faults = true;
+    bool parity = true, audits = true, ledgers = true, faults = true, crashes = true;
     double wide_share = 0.1;
 };
 
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -32,6 +32,7 @@
     glare->add_flag("!--no-parity", settings->parity, "Baseline: hunt from the lowest circuit at both ends");
     glare->add_flag("!--no-audits", settings->audits, "Baseline: no audits");
     glare->add_flag("!--no-ledgers", settings->ledgers, "No hub remembers anything after a crash");
+    glare->add_flag("!--no-crashes", settings->crashes, "All faults but crashes, which clear what is stuck");
     glare->add_flag("!--no-faults", settings->faults, "Traffic alone");
     glare->add_flag("--json", *json, "Only the JSON object");
     glare->add_flag("--samples", *samples, "Lines of hours, stuck and busy shares, every ten minutes");
--- a/src/lab/search.hpp
+++ b/src/lab/search.hpp
@@ -15,9 +15,9 @@
     int circuits = 2;
     int calls = 2;  // that each end may place
     int breaks = 0, resumes = 0, crashes = 0, losses = 0, repeats = 0, audits = 0, ticks = 0;
-    bool wide = false;   // calls take two circuits
-    bool ledger = true;  // a crashed end remembers what stood
-    std::string broken;  // a rule that is broken on purpose: "", "glare", "guard", "audit"
+    bool wide = false;     // calls take two circuits
+    bool ledger = true;    // a crashed end remembers what stood
+    std::string broken{};  // a rule that is broken on purpose: "", "glare", "guard", "audit"
     std::uint64_t most_states = 20'000'000;
 };
 
--- a/src/trunk/group.cpp
+++ b/src/trunk/group.cpp
@@ -167,6 +167,8 @@
 
     // Only what stands is claimed. All else has no owner at the far end, or may have none.
     synced_ = false;
+    last_taken_ = kNoCall;
+    last_reset_heard_ = 0;
     audit_.forget();
     resets_.clear();
     for (auto at = legs_.begin(); at != legs_.end();) {
@@ -266,7 +268,9 @@
 const char* Group::on(Instant now, const Seize& m, Effects& out) {
     if (ours(m.call)) return "a seizure in our name";
     if (!exist(m.circuits)) return "a seizure of a circuit that does not exist";
-    if (legs_.count(m.call)) return nullptr;  // repeated
+    // Repeated. Guards against a call that is over and would come to life again at this end alone.
+    if (m.call <= last_taken_) return nullptr;
+    last_taken_ = m.call;
     Reason reason = Reason::normal;
     // Each crossing pair is judged by itself, also where this seizure fails for another reason: the far end
     // judges the same pair when it hears of ours.
@@ -380,10 +384,12 @@
 
 const char* Group::on(Instant now, const Reset& m, Effects& out) {
     if (!exist(m.circuits)) return "a reset of a circuit that does not exist";
+    out.push_back(Send{ResetDone{m.id, m.circuits}});
+    if (m.id <= last_reset_heard_) return nullptr;  // repeated: what is there now came after it
+    last_reset_heard_ = m.id;
     ++counts_.resets;
     cut_on(now, m.circuits, Reason::reset, out);
     for (const CircuitNumber n : m.circuits) circuits_.apply(n, CircuitEvent::clear, kNoCall);
-    out.push_back(Send{ResetDone{m.id, m.circuits}});
     return nullptr;
 }
 
@@ -541,6 +547,8 @@
 std::string Group::image(Instant now) const {
     std::string text = std::string(up_ ? "u" : "d") + (synced_ ? "s" : "-") + (held_on_ ? "h" : "-");
     append(text, static_cast<std::int64_t>(next_ref_));
+    append(text, static_cast<std::int64_t>(last_taken_));
+    append(text, last_reset_heard_);
     for (CircuitNumber n = 1; n <= circuits_.size(); ++n) {
         const Circuit& c = circuits_.at(n);
         append(text, static_cast<int>(c.state));
--- a/src/trunk/group.hpp
+++ b/src/trunk/group.hpp
@@ -184,7 +184,10 @@
     std::map<std::uint32_t, PendingReset> resets_;
     std::uint32_t last_reset_ = 0;
     std::set<CallRef> yielding_;  // perhaps more than still do
-    CircuitList lately_;          // contested in the last glare that was lost here
+    // Of the far end, on this link: its references and reset numbers only rise.
+    CallRef last_taken_ = kNoCall;
+    std::uint32_t last_reset_heard_ = 0;
+    CircuitList lately_;  // contested in the last glare that was lost here
 };
 
 }  // namespace nettlestall::trunk
--- a/tests/trunk/group_test.cpp
+++ b/tests/trunk/group_test.cpp
@@ -400,6 +400,16 @@
         CHECK(!t.receive(low, ResetDone{7, {1}}) && !t.receive(low, QueryResponse{9, 1, {0, 0, 0, 0}}));
     }
     CHECK(t.heard[low].size() == words && t.stands(a));
+    // Nor do an old seizure and an old reset, whose circuits others have by now.
+    const Seize old{1ull << 63 | 1ull << 32 | 200, {4}, {.call = "old"}};
+    const Reset reset{50, {4}};
+    for (int i = 0; i < 2; ++i) {
+        CHECK(!t.receive(low, reset) && !t.receive(low, old));
+        t.release(low, old.call);
+    }
+    CHECK(t.told(low, "offered old") && !t.end(low).leg(old.call));
+    const CallRef later = t.seize(low, "n", t.end(low).free());
+    CHECK(t.end(low).circuits().at(4).call == later && !t.receive(low, reset) && t.end(low).leg(later));
     Group fresh(TwoEnds::rules(low, 4), 1);
     Effects out;
     fresh.link_up(t.now, false, out);
--- /dev/null
+++ b/tests/trunk/link_test.cpp
@@ -0,0 +1,196 @@
+// The numbered link: what a break loses comes again, in order and once; what can't be is closed.
+#include <deque>
+
+#include "net/check.hpp"
+#include "trunk/session.hpp"
+
+using namespace nettlestall;
+using namespace nettlestall::trunk;
+using test::Dice;
+
+namespace {
+
+struct End final : LinkEvents {
+    std::vector<CallRef> heard;
+    int anew = 0, resumed = 0;
+    const char* wrong = nullptr;
+    Session session;
+    End(Ends ends, std::uint32_t life, int circuits = 30) : session({ends, 7, circuits}, life, *this) {}
+    void link_up(bool again) override { ++(again ? resumed : anew); }
+    const char* received(const Message& message) override {
+        if (wrong) return wrong;
+        heard.push_back(std::get<ReleaseComplete>(message).call);
+        return nullptr;
+    }
+    void say(CallRef number) { session.send(ReleaseComplete{number}); }
+};
+
+struct Link {
+    End a{{10, 20}, 1}, b{{20, 10}, 1};
+    std::string to_a, to_b;
+    void connect() {
+        a.session.connected(), b.session.connected();
+        to_a.clear(), to_b.clear();
+    }
+    void drop() {
+        a.session.disconnected(), b.session.disconnected();
+        to_a.clear(), to_b.clear();
+    }
+    void collect() { to_b += a.session.take_output(), to_a += b.session.take_output(); }
+    bool pump() {  // until nothing is under way
+        for (collect(); !to_a.empty() || !to_b.empty(); collect())
+            if (!a.session.fed(std::exchange(to_a, {})) || !b.session.fed(std::exchange(to_b, {})))
+                return false;
+        return true;
+    }
+};
+
+std::vector<CallRef> up_to(CallRef last) {
+    std::vector<CallRef> all;
+    for (CallRef n = 1; n <= last; ++n) all.push_back(n);
+    return all;
+}
+
+void a_break_loses_nothing() {
+    Dice dice{3};
+    for (int run = 0; run < 300; ++run) {
+        Link link;
+        link.connect();
+        CHECK(link.pump());
+        CallRef said[2] = {0, 0};
+        for (int step = 0; step < 60; ++step) {
+            switch (dice.below(6)) {
+                case 0:
+                    link.drop();
+                    link.connect();
+                    break;
+                case 1:
+                    link.a.session.beat(), link.b.session.beat();
+                    break;
+                case 2:
+                case 3:
+                    link.a.say(++said[0]);
+                    break;
+                case 4:
+                    link.b.say(++said[1]);
+                    break;
+                default:  // some of what is under way
+                    link.collect();
+                    const auto cut = [&dice](std::string& bytes) {
+                        std::string part = bytes.substr(0, dice.below(bytes.size() + 1));
+                        bytes.erase(0, part.size());
+                        return part;
+                    };
+                    CHECK(link.a.session.fed(cut(link.to_a)) && link.b.session.fed(cut(link.to_b)));
+            }
+        }
+        link.drop();
+        link.connect();
+        CHECK(link.pump());
+        CHECK(link.b.heard == up_to(said[0]) && link.a.heard == up_to(said[1]));
+        CHECK(link.a.anew <= 2 && link.b.anew == link.a.anew);
+    }
+}
+
+void another_life_starts_anew() {
+    Link link;
+    link.connect();
+    CHECK(link.pump() && link.a.anew == 1 && link.b.anew == 1);
+    link.a.say(1);
+    CHECK(link.pump());
+    link.a.say(2);  // lost with the restart of the far end
+    link.drop();
+    End again({20, 10}, 2);
+    link.a.session.connected(), again.session.connected();
+    for (std::string to_a, to_b;;) {
+        to_b = link.a.session.take_output(), to_a = again.session.take_output();
+        if (to_a.empty() && to_b.empty()) break;
+        CHECK(link.a.session.fed(to_a) && again.session.fed(to_b));
+    }
+    CHECK(link.a.anew == 2 && link.a.resumed == 0 && again.anew == 1 && again.heard.empty());
+    // One that was down for too long renews itself; both ends see it.
+    Link worn;
+    worn.connect();
+    CHECK(worn.pump());
+    worn.a.session.renew();
+    worn.drop();
+    worn.connect();
+    CHECK(worn.pump() && worn.a.anew == 2 && worn.b.anew == 2);
+}
+
+void those_who_differ_are_refused() {
+    const auto complaint = [](End a, End b) {
+        a.session.connected(), b.session.connected();
+        a.session.take_output();
+        const bool taken = a.session.fed(b.session.take_output());
+        CHECK(!taken && !a.session.up() && a.session.counts().mismatched == 1);
+        CHECK(!b.session.fed(a.session.take_output()));  // it is told why
+        CHECK(b.session.complaint().find(a.session.complaint()) != std::string::npos);
+        return a.session.complaint();
+    };
+    CHECK(complaint(End({10, 20}, 1), End({20, 10}, 1, 31)) == "number of circuits is 31 there and 30 here");
+    CHECK(complaint(End({10, 20}, 1), End({21, 10}, 1)) ==
+          "point code of the far end is 21 there and 20 here");
+    CHECK(complaint(End({10, 20}, 1), End({20, 11}, 1)) == "point code of this end is 11 there and 10 here");
+}
+
+// Repeated, reordered, made up: numbers that don't follow.
+void numbers_must_follow() {
+    const auto fed = [](End& end, const Frame& frame) { return end.session.fed(write(frame)); };
+    const auto open = [](End& end) {
+        end.session.connected();
+        CHECK(end.session.fed(write(Hello{.point = 20,
+                                          .far_point = 10,
+                                          .group = 7,
+                                          .circuits = 30,
+                                          .life = 5,
+                                          .far_life = 0,
+                                          .received = 0})));
+    };
+    End end({10, 20}, 1);
+    CHECK(!fed(end, Numbered{1, 0, ReleaseComplete{1}}));  // before the hello
+    End other({10, 20}, 1);
+    open(other);
+    CHECK(fed(other, Numbered{1, 0, ReleaseComplete{1}}) && fed(other, Numbered{1, 0, ReleaseComplete{1}}));
+    CHECK(fed(other, Numbered{2, 0, ReleaseComplete{2}}) && fed(other, Numbered{1, 0, ReleaseComplete{1}}));
+    CHECK(other.heard == up_to(2) && other.session.counts().repeated == 2);
+    CHECK(!fed(other, Numbered{4, 0, ReleaseComplete{4}}));  // one is missing
+    CHECK(other.heard == up_to(2));
+    other.session.disconnected();
+    open(other);  // its life is another one to the far end: that starts anew
+    CHECK(other.anew == 2);
+    CHECK(!fed(other, Heartbeat{1}));  // confirms what was never sent
+    End third({10, 20}, 1);
+    open(third);
+    CHECK(!fed(third, Hello{.point = 20, .far_point = 10, .group = 7, .circuits = 30, .life = 5}));
+    End fourth({10, 20}, 1);
+    open(fourth);
+    fourth.wrong = "a message that can't be";
+    CHECK(!fed(fourth, Numbered{1, 0, ReleaseComplete{1}}) && fourth.session.complaint() == fourth.wrong);
+    End fifth({10, 20}, 1);
+    open(fifth);
+    CHECK(!fifth.session.fed(std::string(8, '\xff')) && fifth.session.counts().malformed == 1);
+}
+
+void a_far_end_that_confirms_nothing_fills_no_memory() {
+    Link link;
+    link.connect();
+    CHECK(link.pump());
+    const std::string description(30'000, 'x');
+    for (int i = 0; i < 1000 && link.a.session.connected_now(); ++i)
+        link.a.session.send(Answer{1, description});
+    CHECK(!link.a.session.connected_now() && !link.a.session.has_output());
+    link.drop();
+    link.connect();
+    CHECK(link.pump() && link.a.anew == 2 && link.b.heard.empty());
+}
+
+}  // namespace
+
+int main() {
+    a_break_loses_nothing();
+    another_life_starts_anew();
+    those_who_differ_are_refused();
+    numbers_must_follow();
+    a_far_end_that_confirms_nothing_fills_no_memory();
+}
