--- a/src/lab/hub.cpp
+++ b/src/lab/hub.cpp
@@ -12,7 +12,7 @@
 
 constexpr Duration kBeat = seconds(1), kSilence = seconds(3);
 constexpr Duration kAnswerLeast = milliseconds(40), kAnswerMost = milliseconds(250);
-constexpr int kLineCircuits = 100'000;
+constexpr int kLineCircuits = 1000;
 const ExchangeId kLines = "lines";
 
 // Wakes up once at the earliest moment that was asked for.
@@ -135,14 +135,14 @@
    public:
     explicit Lines(Hub& hub) : hub_(hub) {}
     void set_up(const ExchangeId&, const Forward& forward) override { hub_.line_set_up(forward.call); }
-    void give_up(const ExchangeId&, const CallId& call) override {
-        hub_.truth_.calls[call].line_stands = false;
-    }
-    void release(const ExchangeId&, const CallId& call) override {
-        hub_.truth_.calls[call].line_stands = false;
-    }
+    void give_up(const ExchangeId&, const CallId& call) override { hang_up(call); }
+    void release(const ExchangeId&, const CallId& call) override { hang_up(call); }
 
    private:
+    void hang_up(const CallId& call) {
+        hub_.truth_.calls[call].line_stands = false;
+        hub_.simulation_.after({}, [&hub = hub_] { hub.do_awake([&hub] { hub.lines_tell_room(); }); });
+    }
     Hub& hub_;
 };
 
@@ -227,9 +227,7 @@
         p.routes.add(p.front.add(group).settings().exchange, p.front);
     p.front.begin(life_, with_ledger ? &ledger_ : nullptr);
     p.gatekeeper.list(p.front.with_hubs(list));
-    LoadReport room;
-    room.free_circuits = room.group_size = kLineCircuits;
-    p.gatekeeper.group_state(kLines, room);
+    lines_tell_room();
     if (with_ledger) {
         std::vector<trunk::LedgerCall> calls;
         for (const auto& [group, places] : ledger_.places)
@@ -358,6 +356,14 @@
     if (stalled()) return simulation_.at(stalled_until_, [this, call] { line_hangs_up(call); });
     known.line_stands = false;
     process_->gatekeeper.ended(kLines, call, Outcome::ended, Cause::none, {});
+    lines_tell_room();
+}
+
+// Lines say how many are free whenever one falls free, as carrier switches do; there are always enough.
+void Hub::lines_tell_room() {
+    LoadReport room;
+    room.free_circuits = room.group_size = kLineCircuits;
+    process_->gatekeeper.group_state(kLines, room);
 }
 
 }  // namespace nettlestall::lab
--- a/src/lab/hub.hpp
+++ b/src/lab/hub.hpp
@@ -95,6 +95,7 @@
     void heard_answer(const CallId& call);
     void heard_release(const CallId& call, Ending ending);
     void line_set_up(const CallId& call);
+    void lines_tell_room();
 
     Simulation& simulation_;
     Chance& chance_;
--- a/src/lab/live.cpp
+++ b/src/lab/live.cpp
@@ -148,22 +148,27 @@
 
     // ---- Lines: every number answers soon, talks for a while and hangs up, or waits for the caller to
 
+    static void tell_room(Hub& hub) {
+        hub.line->send(FrameBuilder(Type::group_state, "").text(Code::report, "x0:500;x1:500").done());
+    }
+
     awaitable<void> serve_lines(Hub& hub) {
         for (;;) {
             auto [error, socket] =
                 co_await hub.lines_acceptor->async_accept(net::asio::as_tuple(use_awaitable));
             if (error) co_return;
             hub.line = std::make_shared<net::Connection>(std::move(socket), counters_);
-            hub.line->send(FrameBuilder(Type::group_state, "").text(Code::report, "x0:500;x1:500").done());
+            tell_room(hub);
             hub.line_reader = {};
             hub.line_reader.take = [this, &hub](const Message& message) {
+                if (message.type == Type::release) tell_room(hub);
                 if (message.type == Type::set_up)
                     after(chance_.between(milliseconds(20), milliseconds(120)),
                           [this, &hub, call = message.call()] {
                               hub.line->send(FrameBuilder(Type::answer, call)
                                                  .done(std::make_shared<const std::string>("media")));
                               if (chance_.once_in(0.5))
-                                  after(chance_.exponential(kHolds), [&hub, call] {
+                                  after(chance_.exponential(kHolds), [this, &hub, call] {
                                       hub.line->send(
                                           FrameBuilder(Type::release, call).cause(cause::kGivenUp).done());
                                   });
--- a/src/net/trunks.cpp
+++ b/src/net/trunks.cpp
@@ -16,7 +16,7 @@
 constexpr milliseconds kHello{3000};    // for a new connection to say who it is
 constexpr milliseconds kConnect{1000};
 constexpr milliseconds kFirstPause{100}, kLongestPause{3000};  // between dials, doubling
-constexpr milliseconds kAcceptPause{20};
+constexpr milliseconds kAcceptPause{20}, kListenPause{50};
 constexpr std::size_t kRead = 16 * 1024;
 
 }  // namespace
@@ -74,16 +74,12 @@
       front_(front),
       time_(std::move(time)),
       note_(std::move(note)),
+      listen_(listen),
       acceptor_(io),
       alarm_(io),
       beat_(io) {
     front_.on_output([this](trunk::Front::Trunk& trunk) { flush(trunk); });
     front_.on_schedule([this](Instant at) { arm(at); });
-    if (!listen) return;
-    acceptor_.open(listen->protocol());
-    acceptor_.set_option(tcp::acceptor::reuse_address(true));
-    acceptor_.bind(*listen);
-    acceptor_.listen(64);
 }
 
 Trunks::~Trunks() = default;
@@ -93,7 +89,7 @@
 }
 
 void Trunks::start() {
-    if (acceptor_.is_open()) spawn(io_, accept());
+    if (listen_) spawn(io_, accept());
     for (const Dialled& dialled : dialled_) spawn(io_, keep_up(dialled));
     spawn(io_, beat());
 }
@@ -116,8 +112,26 @@
 
 // ---- Connections -------------------------------------------------------------------------------------
 
+bool Trunks::listen() {
+    acceptor_.open(listen_->protocol());
+    acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    boost::system::error_code error;
+    acceptor_.bind(*listen_, error);
+    if (error == asio::error::address_in_use) return acceptor_.close(), false;
+    if (error) throw boost::system::system_error(error, "trunk listen");
+    acceptor_.listen(64, error);
+    if (error == asio::error::address_in_use) return acceptor_.close(), false;
+    if (error) throw boost::system::system_error(error, "trunk listen");
+    return true;
+}
+
 asio::awaitable<void> Trunks::accept() {
     asio::steady_timer pause(io_);
+    for (bool told = false; !stopped_ && !listen(); told = true) {
+        if (!told) note_("the trunk address is in use, it is tried again");
+        pause.expires_after(kListenPause);
+        co_await pause.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
     while (!stopped_) {
         auto [error, socket] = co_await acceptor_.async_accept(asio::as_tuple(asio::use_awaitable));
         if (stopped_) co_return;
--- a/src/net/trunks.hpp
+++ b/src/net/trunks.hpp
@@ -23,12 +23,13 @@
 
     using Note = std::function<void(const std::string&)>;
 
-    // Listens at once if it is to; throws boost::system::system_error if it cannot.
     Trunks(asio::io_context& io, trunk::Front& front, std::optional<tcp::endpoint> listen,
            trunk::Front::Time time, Note note);
     ~Trunks();
 
     void dial(trunk::Front::Trunk& trunk, const tcp::endpoint& to);
+    // Listens if it is to. While the address is in use it tries again, as the process before this one may
+    // still have it; anything else throws boost::system::system_error.
     void start();
     void stop();
     bool idle() const;  // all that was to be written has been
@@ -40,6 +41,7 @@
         tcp::endpoint to;
     };
 
+    bool listen();
     asio::awaitable<void> accept();
     asio::awaitable<void> greet(std::shared_ptr<tcp::socket> socket);
     asio::awaitable<void> keep_up(Dialled dialled);
@@ -53,6 +55,7 @@
     trunk::Front& front_;
     trunk::Front::Time time_;
     Note note_;
+    std::optional<tcp::endpoint> listen_;
     tcp::acceptor acceptor_;
     asio::steady_timer alarm_, beat_;
     Instant armed_ = Instant::max();
--- a/tests/trunk/glare_test.cpp
+++ b/tests/trunk/glare_test.cpp
@@ -57,6 +57,7 @@
                 if (sources[2 + h].revents)
                     CHECK(lines[h].drain([&](const Message& message) {
                         if (message.type == Type::set_up) lines[h].say(answer(message.call()));
+                        if (message.type == Type::release) lines[h].say(group("x0:500;x1:500"));
                     }));
                 if (sources[h].revents)
                     CHECK(callers[h].drain([&](const Message& message) {
--- a/tests/trunk/hubs.hpp
+++ b/tests/trunk/hubs.hpp
@@ -67,6 +67,10 @@
         at(h).program =
             std::make_unique<Program>(path_, config(h), at(h).operators, at(h).folder, at(h).file);
     }
+    // A second process beside the first, which is to take over from it.
+    std::unique_ptr<Program> successor(int h, int operators) {
+        return std::make_unique<Program>(path_, config(h), operators, at(h).folder, at(h).file);
+    }
     // Kills it outright and starts it anew.
     void crash(int h) {
         at(h).program.reset();
--- a/tests/trunk/program_test.cpp
+++ b/tests/trunk/program_test.cpp
@@ -65,6 +65,35 @@
     }
 }
 
+// The groups go to the next process by way of the ledger, and with them the calls that stand.
+void a_standing_call_survives_an_upgrade(const char* path) {
+    for (const int upgraded : {a, b}) {
+        Hubs hubs(path, 4, true);
+        Peer lines_a = hubs.lines(a), lines_b = hubs.lines(b);
+        hubs.await_link();
+        Peer caller = Peer::connect(hubs.at(a).callers);
+        caller.say(Hubs::call_to(one, 2));
+        CHECK(lines_b.hear().call == one);
+        lines_b.say(answer(one));
+        CHECK(caller.hear().type == Type::answer);
+        const int desk = Listener().port();
+        auto next = hubs.successor(upgraded, desk);
+        Peer lines_next = hubs.lines(upgraded);
+        while (!says_yes(desk, "GET /ready")) usleep(5000);
+        hubs.at(upgraded).operators = desk;
+        hubs.await_link();
+        hubs.at(upgraded).program->signal(SIGTERM);
+        CHECK(hubs.at(upgraded).program->exit_code() == 0);
+        CHECK(hubs.busy(a) == 1 && hubs.busy(b) == 1);
+        (upgraded == b ? lines_next : lines_b).say(release(one, 16));
+        const Heard over = caller.hear();
+        CHECK(over.type == Type::release && over.call == one && over.cause == 16);
+        hubs.await_idle();
+        caller.say(Hubs::call_to(two, 2));
+        CHECK((upgraded == b ? lines_next : lines_b).hear().call == two);
+    }
+}
+
 void without_a_ledger_a_crash_frees_the_circuits(const char* path) {
     Hubs hubs(path, 4, false);
     Peer lines_a = hubs.lines(a), lines_b = hubs.lines(b);
@@ -187,6 +216,7 @@
     const char* path = words[1];
     a_call_goes_over_the_group_and_back(path);
     a_standing_call_survives_a_crash(path);
+    a_standing_call_survives_an_upgrade(path);
     without_a_ledger_a_crash_frees_the_circuits(path);
     a_bad_ledger_is_set_aside(path);
     strangers_harm_nothing(path);
