Take out the guards one by one: three that no test missed have tests now

Change: 28 guards of the trunk signalling, its link, ledger and front, and of the call table, were each taken out once and the tests run. Three survived (old resets, claims of circuits that do not exist, a far end that renewed its life and was heard by one end only); each has a test now.

--- a/tests/net/program_test.cpp
+++ b/tests/net/program_test.cpp
@@ -68,6 +68,37 @@
     program.await_log(" reloads=1 reloads_refused=2 ");
 }
 
+// Seen from outside: calls whose end never comes stop at a bound that follows from the memory limit.
+void standing_calls_have_a_bound(const char* path) {
+    Listener at, feed_at;
+    const int port = Listener().port();
+    std::string small = config(port, feed_at, at, "10");
+    small.replace(small.find("\"sockets\":40"), 12, "\"sockets\":40,\"memory_mb\":1");
+    Program program(path, small);
+    Peer at_switch = at.accept();
+    at_switch.say(group("x0:900;x1:900"));
+    Peer caller = Peer::connect(port);
+    while (test(caller).cause != 1) usleep(5000);
+    const int most = 1024 * 1024 / 5 / 800;
+    for (int i = 1; i <= most; ++i) {
+        char call[17];
+        std::snprintf(call, sizeof call, "%016x", i);
+        caller.say(set_up(call, 1, 20'000));
+        CHECK(at_switch.hear().call == call);
+        at_switch.say(answer(call));
+        CHECK(caller.hear().type == Type::answer);
+    }
+    const CallId last = "0000000000000001";
+    caller.say(set_up("000000000000ffff", 1, 20'000));
+    const Heard refused = caller.hear();
+    CHECK(refused.type == Type::release && refused.cause == 34);
+    program.await_log("the table is full with 262 calls; the oldest: 0000000000000001 at s-1");
+    caller.say(release(last, 16));
+    CHECK(at_switch.hear().call == last);
+    caller.say(set_up("000000000000fffe", 1, 20'000));
+    CHECK(at_switch.hear().type == Type::set_up);
+}
+
 // Connections that are held for nothing cost no ordinary caller a place: neither by their number nor for
 // good.
 void idle_connections_make_room(const char* path) {
@@ -246,6 +277,7 @@
     bad_config_is_told_and_ends_it(arguments[1]);
     a_silent_switch_is_dialled_anew(arguments[1]);
     it_takes_a_new_configuration(arguments[1]);
+    standing_calls_have_a_bound(arguments[1]);
     idle_connections_make_room(arguments[1]);
     a_crowd_displaces_no_standing_call(arguments[1]);
     a_halted_connection_is_closed(arguments[1]);
--- a/tests/trunk/group_test.cpp
+++ b/tests/trunk/group_test.cpp
@@ -409,11 +409,15 @@
     }
     CHECK(t.told(low, "offered old") && !t.end(low).leg(old.call));
     const CallRef later = t.seize(low, "n", t.end(low).free());
-    CHECK(t.end(low).circuits().at(4).call == later && !t.receive(low, reset) && t.end(low).leg(later));
+    CHECK(t.end(low).circuits().at(4).call == later && !t.receive(low, reset));
+    CHECK(t.end(low).leg(later)->state == LegState::seizing);
     Group fresh(TwoEnds::rules(low, 4), 1);
     Effects out;
     fresh.link_up(t.now, false, out);
     CHECK(fresh.receive(t.now, Seize{theirs, {1}, {.call = "x"}}, out));  // before its claims
+    CHECK(fresh.receive(t.now, Claims{{{theirs, {5}}}, {}}, out) && !fresh.in_service());
+    CHECK(fresh.receive(t.now, Claims{{}, {{5, Blocking::hard}}}, out) && !fresh.in_service());
+    CHECK(!fresh.receive(t.now, Claims{{{theirs, {4}}}, {}}, out) && fresh.free() == 4);
 }
 
 // Traffic at random, messages in any order of the two directions, breaks of both kinds: it always settles.
--- a/tests/trunk/link_test.cpp
+++ b/tests/trunk/link_test.cpp
@@ -116,6 +116,18 @@
     worn.drop();
     worn.connect();
     CHECK(worn.pump() && worn.a.anew == 2 && worn.b.anew == 2);
+    // The same where only one end hears the other's hello before the connection breaks once more.
+    Link half;
+    half.connect();
+    CHECK(half.pump());
+    half.a.session.renew();
+    half.drop();
+    half.connect();
+    half.collect();
+    CHECK(half.a.session.fed(half.to_a));
+    half.drop();
+    half.connect();
+    CHECK(half.pump() && half.b.anew == 2 && half.b.resumed == 0 && half.a.resumed == 0);
 }
 
 void those_who_differ_are_refused() {
