Keep the numbers of an audit's questions over a reload

Cause: read once more, a reload began the questions' numbers anew, so that the response to an old question could be taken for that to a new one. Change: new rules leave the numbers as they are; a test asks across the change.

--- a/src/trunk/audit.hpp
+++ b/src/trunk/audit.hpp
@@ -27,6 +27,9 @@
 class Audit {
    public:
     explicit Audit(const AuditRules& rules) : rules_(rules) {}
+    // Other rules in service. The numbers of questions go on: guards against the response to an old question
+    // being taken for that to a new one.
+    void take(const AuditRules& rules) { rules_ = rules, out_.reset(), started_ = false; }
 
     // The next question if it is time for one; it is on its way then.
     std::optional<Query> ask(Instant now, const Circuits& circuits);
--- a/src/trunk/group.cpp
+++ b/src/trunk/group.cpp
@@ -49,7 +49,7 @@
     rules_.reset_again = rules.reset_again;
     rules_.hold = rules.hold;
     rules_.audit = rules.audit;
-    audit_ = Audit(rules.audit);
+    audit_.take(rules.audit);
 }
 
 bool Group::exist(const CircuitList& circuits) const {
--- a/tests/trunk/parts_test.cpp
+++ b/tests/trunk/parts_test.cpp
@@ -103,6 +103,12 @@
     late.ask(1010s);
     CHECK(late.audit.judge(first, late.circuits).empty());
     CHECK(late.audit.judge(late.response({0, 0}), late.circuits).empty());
+    // Nor is an old response one to a question under other rules.
+    Question before;
+    const QueryResponse old = before.response({0, 0, 0, 0});
+    before.audit.take(before.rules);
+    before.ask(1010s);
+    CHECK(before.audit.judge(old, before.circuits).empty());
     // What awaits a word of the other end, on either side, is no finding: a rejection may be under way.
     Question waits;
     CHECK(waits.audit.judge(waits.response({0, kInBetween, kInBetween, 0}), waits.circuits).empty());
