Log attempts, their ends and the connections to carrier switches

Change: a line for each further attempt of a call, for each end that is a reset, time-out or cancellation, and for the final answer after several attempts; numbered connections to carrier switches with the reason for their loss; a counter ends_ignored; at most 20 such lines a second.

--- a/src/calls/gatekeeper.cpp
+++ b/src/calls/gatekeeper.cpp
@@ -150,6 +150,7 @@
     call.sent_at = now;
     ++call.attempts;
     ++counters_.attempts;
+    call_log_.attempt_sent(action.call, call.attempts, call.exchange);
     call.attempt_timer = schedule(now + time_limit, AttemptTimeout{action.call, call.attempts});
     switches_.set_up(call.exchange, {.call = action.call,
                                      .service_class = call.service_class,
@@ -195,6 +196,7 @@
     const auto entry = calls_.find(id);
     if (entry == calls_.end() || entry->second.phase == Phase::standing) return;
     if (entry->second.phase == Phase::attempting) switches_.cancel(entry->second.exchange, id);
+    call_log_.closed(id, entry->second.attempts, reason == ReleaseReason::refused ? "refused" : "failed");
     CallerLink* const link = entry->second.link;
     const std::string service_class = std::move(entry->second.service_class);
     close_set_up(entry->second);
@@ -313,6 +315,7 @@
     Call call = std::move(entry->second);
     calls_.erase(entry);
     close_set_up(call);
+    call_log_.closed(id, call.attempts, "abandoned");
     if (call.phase == Phase::attempting) switches_.cancel(call.exchange, id);
     handle_event(CallAbandoned{id});
     if (call.phase == Phase::attempting)
@@ -418,6 +421,7 @@
     if (call.phase == Phase::standing) return;  // reported twice
     call.phase = Phase::standing;
     close_set_up(call);
+    call_log_.answered(id, call.attempts, exchange);
     ++counters_.stood;
     ++counters_.answered;
     if (call.link) ++call.link->usage.standing_calls;
@@ -434,6 +438,8 @@
     const auto entry = calls_.find(id);
     if (entry == calls_.end() || entry->second.phase == Phase::waiting ||
         entry->second.exchange != exchange) {
+        ++counters_.ends_ignored;
+        if (entry != calls_.end()) call_log_.end_ignored(id, exchange, outcome);
         if (entry == calls_.end() && successor_) successor_->hand_over_end(exchange, id, outcome);
         // Too late for the call, but the report on the circuits is of use.
         return on_group_state(exchange, load);
@@ -457,6 +463,7 @@
     counters_.reset += outcome == Outcome::reset;
     counters_.unreachable += outcome == Outcome::unreachable;
     counters_.moot += outcome == Outcome::not_sent;
+    call_log_.attempt_ended(entry->first, call.attempts, call.exchange, outcome, now - call.sent_at);
     handle_event(AttemptEnded{.call = entry->first,
                               .attempt = call.attempts - 1,
                               .exchange = call.exchange,
--- a/src/calls/gatekeeper.hpp
+++ b/src/calls/gatekeeper.hpp
@@ -13,6 +13,7 @@
 #include <variant>
 #include <vector>
 
+#include "calls/call_log.hpp"
 #include "calls/signals.hpp"
 #include "counters.hpp"
 
@@ -41,6 +42,9 @@
         note_handler_ = std::move(handler);
     }
 
+    // `handler` gets the lines of the log that concern a call.
+    void set_call_log_handler(CallLog::Handler handler) { call_log_.set_handler(std::move(handler)); }
+
     // Applies a change to the list of exchanges. Standing calls at an exchange that has gone or was started
     // anew are cut.
     void apply_list(const ListEvent& event);
@@ -230,6 +234,7 @@
     std::vector<Replies> replies_;  // by class, in the order of the settings
     std::function<void(Instant)> timer_handler_;
     std::function<void(const std::string&)> note_handler_;
+    CallLog call_log_;
 
     Calls calls_;
     std::size_t unanswered_calls_ = 0;
--- a/src/counters.hpp
+++ b/src/counters.hpp
@@ -87,6 +87,9 @@
     std::uint64_t switch_connections = 0;       // to carrier switches
     std::uint64_t switch_connections_lost = 0;  // of these: ended by the far end or by a fault
     std::uint64_t feed_connections = 0;         // to the control feed
+
+    // Ends that a carrier switch reported of calls without an attempt or a standing call there.
+    std::uint64_t ends_ignored = 0;
 };
 
 // Calls f(name, count) for each counter, in the order of the line in the log.
@@ -116,6 +119,7 @@
     f("operator_calls_displaced", c.operator_calls_displaced);
     f("switch_connections", c.switch_connections);
     f("switch_connections_lost", c.switch_connections_lost), f("feed_connections", c.feed_connections);
+    f("ends_ignored", c.ends_ignored);
 }
 
 // Writes the line for the log: `counters` and name=value for each counter.
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -34,14 +34,35 @@
     // The messages to a far end that does not read must not fill the memory.
     if (queued_bytes_ > kMaxQueuedBytes) {
         ++counters_.overflowed;
-        return close();
+        return close(CloseReason::overflow);
     }
     queue_.push_back(std::move(frame));
     if (std::exchange(writing_, true)) return;
     spawn(socket_.get_executor(), write(shared_from_this()));
 }
 
-void Connection::close() {
+std::string_view to_string(CloseReason reason) {
+    switch (reason) {
+        case CloseReason::none:
+            return "open";
+        case CloseReason::far_end:
+            return "closed or reset by the far end";
+        case CloseReason::malformed:
+            return "malformed message";
+        case CloseReason::stalled:
+            return "a message stopped half-way";
+        case CloseReason::superseded:
+            return "silent, and replaced by a newer connection";
+        case CloseReason::overflow:
+            return "the far end reads too slowly";
+        case CloseReason::stopped:
+            return "closed at this end";
+    }
+    return "unknown";
+}
+
+void Connection::close(CloseReason reason) {
+    note_close_reason(reason);
     boost::system::error_code ignored;
     socket_.shutdown(tcp::socket::shutdown_both, ignored);
     socket_.close(ignored);
@@ -81,7 +102,7 @@
             co_await asio::async_write(self->socket_, buffers, asio::as_tuple(asio::use_awaitable));
         self->count_written_set_ups(frames, bytes);
         if (error) {
-            self->close();
+            self->close(CloseReason::far_end);
             break;
         }
         self->queued_bytes_ -= bytes;
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -14,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "counters.hpp"
 #include "protocol/codec.hpp"
@@ -28,6 +29,10 @@
 // Bytes that one connection holds at most: the queue and one message that is being read.
 constexpr std::size_t kMaxConnectionBytes = kMaxQueuedBytes + protocol::kMaxMessageBytes;
 
+// Why a connection was closed, as far as this end knows; the first reason counts.
+enum class CloseReason { none, far_end, malformed, stalled, superseded, overflow, stopped };
+std::string_view to_string(CloseReason reason);
+
 // Owns the socket. Messages are queued and written in order, several in one write; a connection whose queue
 // would pass kMaxQueuedBytes is closed. The owner reads with read_into().
 class Connection : public std::enable_shared_from_this<Connection> {
@@ -35,7 +40,8 @@
     Connection(tcp::socket socket, Counters& counters);
 
     void send(protocol::Frame frame);
-    void close();  // at once; queued messages are dropped
+    void close(CloseReason reason = CloseReason::stopped);  // at once; queued messages are dropped
+    CloseReason close_reason() const { return close_reason_; }
     bool is_open() const { return socket_.is_open(); }
     std::string remote_address() const;              // without the port; empty if there is no far end
     bool is_idle() const { return queue_.empty(); }  // everything queued has been written
@@ -59,15 +65,22 @@
                 asio::buffer(space.data(), space.size()), asio::as_tuple(asio::use_awaitable));
             // If this end has closed the connection meanwhile, bytes that had arrived are discarded.
             if (paused_ && is_open() && error == asio::error::operation_aborted) co_return true;
+            if (error) note_close_reason(CloseReason::far_end);
             if (error || !is_open()) co_return false;
             on_read();
-            if (!session.consume(bytes)) co_return false;
+            if (!session.consume(bytes)) {
+                note_close_reason(CloseReason::malformed);
+                co_return false;
+            }
             if (paused_ && is_open()) co_return true;
         }
     }
 
    private:
     static asio::awaitable<void> write(std::shared_ptr<Connection> self);
+    void note_close_reason(CloseReason reason) {
+        if (close_reason_ == CloseReason::none) close_reason_ = reason;
+    }
     // Counts the set-ups among the first `frames` of the queue that `bytes` written bytes cover completely.
     void count_written_set_ups(std::size_t frames, std::size_t bytes);
 
@@ -76,6 +89,7 @@
     std::deque<protocol::Frame> queue_;
     std::size_t queued_bytes_ = 0;
     bool writing_ = false, paused_ = false;
+    CloseReason close_reason_ = CloseReason::none;
 };
 
 // Measures for how long a message has been arriving on a connection, to find one that stops before its end.
--- a/src/net/switches.cpp
+++ b/src/net/switches.cpp
@@ -29,14 +29,17 @@
 class SwitchConnections::Peer final : public std::enable_shared_from_this<Peer>, public SwitchEvents {
    public:
     Peer(asio::io_context& io, ExchangeId id, std::string address, Duration connect_time_out,
-         SwitchEvents& events, Counters& counters)
+         SwitchEvents& events, Counters& counters, const calls::CallLog& log,
+         std::uint64_t& last_connection_number)
         : io_(io),
           timer_(io),
           id_(std::move(id)),
           address_(std::move(address)),
           connect_time_out_(connect_time_out),
           events_(events),
-          counters_(counters) {}
+          counters_(counters),
+          log_(log),
+          last_connection_number_(last_connection_number) {}
 
     const std::string& address() const { return address_; }
     void set_connect_time_out(Duration time_out) { connect_time_out_ = time_out; }
@@ -122,6 +125,7 @@
             if (!connection || on == connection) lost.push_back(call);
         for (const CallId& call : lost) {
             unanswered_.erase(call);
+            log_.line("set-up at " + id_ + " lost with its connection", call);
             release(call);
             events_.on_call_ended(id_, call, Outcome::reset, Cause::none, {});
         }
@@ -185,27 +189,31 @@
         const auto now = Clock::now();
         for (const auto& [connection, reader] : readers_)
             if (reader->partial.is_older_than(connect_time_out_ / 2, reader->session, now))
-                connection->close();
+                connection->close(CloseReason::stalled);
     }
 
     // Sends on the new connection from now on. The previous one, which is silent, is read until this one is
     // replaced in turn, as its set-ups may still be answered there.
     void use_connection(tcp::socket socket) {
         ++counters_.switch_connections;
-        if (previous_) previous_->close();
+        if (previous_) previous_->close(CloseReason::superseded);
         previous_ = std::exchange(connection_, std::make_shared<Connection>(std::move(socket), counters_));
         last_read_ = Clock::now();
         first_set_up_since_read_.reset();
+        const std::uint64_t number = ++last_connection_number_;
+        log_.line("connection " + std::to_string(number) + " to " + id_ + " up, sends " +
+                  std::to_string(pending_releases_.size()) + " releases and " +
+                  std::to_string(waiting_.size()) + " set-ups that waited");
         for (const CallId& call : std::exchange(pending_releases_, {}))
             connection_->send(SwitchSession::release_frame(call));
         for (auto& [call, frame] : std::exchange(waiting_, {})) send_set_up(call, std::move(frame));
-        spawn(io_, read_messages(shared_from_this(), connection_));
+        spawn(io_, read_messages(shared_from_this(), connection_, number));
     }
 
     // Reads one connection to a carrier switch until the switch closes it, a message is malformed,
     // close_stalled() or a later connection closes it, or the peer is stopped.
     static asio::awaitable<void> read_messages(std::shared_ptr<Peer> self,
-                                               std::shared_ptr<Connection> connection) {
+                                               std::shared_ptr<Connection> connection, std::uint64_t number) {
         Reader reader{SwitchSession(self->id_, *self, self->counters_), {}};
         self->readers_[connection] = &reader;
         co_await connection->read_into(reader.session, [&] {
@@ -216,6 +224,8 @@
         self->readers_.erase(connection);
         connection->close();
         if (self->stopped_) co_return;
+        self->log_.line("connection " + std::to_string(number) + " to " + self->id_ +
+                        " lost: " + std::string(to_string(connection->close_reason())));
         ++self->counters_.switch_connections_lost;
         if (connection == self->previous_) self->previous_ = nullptr;
         if (connection == self->connection_) {
@@ -232,6 +242,8 @@
     Duration connect_time_out_;
     SwitchEvents& events_;
     Counters& counters_;
+    const calls::CallLog& log_;
+    std::uint64_t& last_connection_number_;  // over all peers
     std::shared_ptr<Connection> connection_, previous_;
     std::map<std::shared_ptr<Connection>, Reader*> readers_;    // owned by their coroutines
     std::optional<Clock::time_point> first_set_up_since_read_;  // when it was sent
@@ -263,8 +275,8 @@
             continue;
         }
         remove(entry.exchange);
-        auto peer =
-            std::make_shared<Peer>(io_, entry.exchange, address, connect_time_out_, *events_, counters_);
+        auto peer = std::make_shared<Peer>(io_, entry.exchange, address, connect_time_out_, *events_,
+                                           counters_, log_, last_connection_number_);
         peers_[entry.exchange] = peer;
         peer->start();
     }
--- a/src/net/switches.hpp
+++ b/src/net/switches.hpp
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <map>
 
+#include "calls/call_log.hpp"
 #include "calls/signals.hpp"
 #include "net/connection.hpp"
 #include "protocol/switches.hpp"
@@ -21,6 +22,8 @@
 
     // To be called before the first list.
     void report_to(SwitchEvents& events) { events_ = &events; }
+    // `handler` gets the lines of the log that concern connections to carrier switches. Likewise.
+    void set_log_handler(calls::CallLog::Handler handler) { log_.set_handler(std::move(handler)); }
     // Connects to the switches that are new in the list or have a new address, and disconnects from those
     // that are gone. Set-ups that wait for a switch that is now draining fail.
     void apply_list(const ListEvent& event);
@@ -40,6 +43,8 @@
     Duration connect_time_out_;
     Counters& counters_;
     SwitchEvents* events_ = nullptr;
+    calls::CallLog log_;
+    std::uint64_t last_connection_number_ = 0;
     std::map<ExchangeId, std::shared_ptr<Peer>> peers_;
 };
 
--- a/src/program.cpp
+++ b/src/program.cpp
@@ -12,6 +12,7 @@
 #include "config/config.hpp"
 #include "config/operator_file.hpp"
 #include "log/log.hpp"
+#include "log/rate_limit.hpp"
 #include "net/callers.hpp"
 #include "net/feed.hpp"
 #include "net/handover.hpp"
@@ -36,6 +37,9 @@
 constexpr std::size_t kBytesPerCall = 800;   // in the call table and the decision module: 750, rounded up
 constexpr std::size_t kMaxOldestCalls = 20;  // in a reply to operators
 constexpr int kMaxLoggedNotes = 100;         // of the decision module; the process logs no further ones
+// Lines about single calls and connections: how many a second, and how many at once after a quiet time.
+constexpr double kMaxEventLinesPerSecond = 20;
+constexpr double kMaxEventLineBurst = 500;
 
 // Unix time that never runs backwards: reads the system's clock once and adds monotonic time.
 class UnixClock {
@@ -97,6 +101,9 @@
         gatekeeper_.set_note_handler([this](const std::string& text) {
             if (++note_count_ <= kMaxLoggedNotes) log_.info("note: " + text);
         });
+        const auto log_call = [this](const std::string& text, const CallId& call) { log_event(text, call); };
+        gatekeeper_.set_call_log_handler(log_call);
+        switches_.set_log_handler(log_call);
         callers_.close_idle_while([this] { return gatekeeper_.can_close_callers(); });
         if (file_ && file_->trunk) {
             trunk_.emplace(
@@ -223,6 +230,14 @@
     void release_standing_call(const CallId& call) override { gatekeeper_.accept_release(call); }
 
    private:
+    // Logs a line about a call or a connection, unless there are too many of them.
+    void log_event(const std::string& text, const CallId& call) {
+        if (!event_lines_.allow(clock_.now())) return;
+        if (const std::uint64_t dropped = event_lines_.take_dropped(); dropped > 0)
+            log_.warning(std::to_string(dropped) + " lines about calls and connections were dropped");
+        log_.info(text, call);
+    }
+
     static std::size_t memory_bytes(const config::Config& config) {
         return static_cast<std::size_t>(config.memory_mb) * 1024 * 1024;
     }
@@ -373,6 +388,7 @@
     asio::steady_timer alarm_, stop_timer_;  // alarm_: of the call table
     asio::signal_set signals_;
     int note_count_ = 0;  // of the decision module
+    log::RateLimit event_lines_{kMaxEventLinesPerSecond, kMaxEventLineBurst};
     bool stopping_ = false;
 };
 
