Withdraw an attempt whose reported end may be that of an earlier attempt

Cause: messages of a switch name the call, not the attempt. Gatekeeper::on_call_ended took any end of the call at the exchange for the end of the attempt that was out, sent the next one after the release wait and never withdrew the one that was out. Change: the call table remembers where a call was tried. An end from a switch for an attempt that is not the first one there is ambiguous: the attempt is cancelled at the switch first, then the end counts, and the release wait applies (AttemptEnded::withdrawn). A standing call is released at the switch as well before its caller is told. Ends known at this end (a lost connection, no connection) and ends on circuit groups, which have references, stay exact. A counter and a log line say when it happens. Why it works: the cancellation is written on the attempt's own connection before any later set-up, so whichever attempt the end meant, none is out when the next one is sent.

--- a/include/nettlestall/call_control.hpp
+++ b/include/nettlestall/call_control.hpp
@@ -159,7 +159,10 @@
     Cause cause = Cause::none;
     Duration requested_wait{};  // time that a full processor asks senders to wait
     bool final = false;         // the call is finished, by this attempt or an earlier one
-    Duration response_time{};   // from the set-up to this end
+    // The attempt was cancelled too, since the reported end may be that of an earlier attempt: it may have
+    // run, and the release wait applies.
+    bool withdrawn = false;
+    Duration response_time{};  // from the set-up to this end
     LoadReport load{};
 };
 
--- a/src/call_control.cpp
+++ b/src/call_control.cpp
@@ -955,7 +955,7 @@
             return;
         }
         const bool may_run = event.outcome == Outcome::timed_out || event.outcome == Outcome::reset ||
-                             event.outcome == Outcome::cancelled;
+                             event.outcome == Outcome::cancelled || event.withdrawn;
         if (may_run) call.not_before = now_ + settings_.release_wait;
         call.may_have_run = call.may_have_run || may_run || event.outcome == Outcome::failed;
         const bool again =
--- a/src/calls/call_log.cpp
+++ b/src/calls/call_log.cpp
@@ -49,6 +49,11 @@
              call);
 }
 
+void CallLog::withdrawn(const CallId& call, int attempt, const ExchangeId& exchange) const {
+    if (handler_)
+        handler_(attempt_at(attempt, exchange) + ": withdrawn, the end may be an earlier attempt's", call);
+}
+
 void CallLog::answered(const CallId& call, int attempt, const ExchangeId& exchange) const {
     if (handler_ && attempt > 1) handler_(attempt_at(attempt, exchange) + ": answered", call);
 }
--- a/src/calls/call_log.hpp
+++ b/src/calls/call_log.hpp
@@ -25,6 +25,8 @@
     void attempt_sent(const CallId& call, int attempt, const ExchangeId& exchange) const;
     void attempt_ended(const CallId& call, int attempt, const ExchangeId& exchange, Outcome outcome,
                        Duration after) const;
+    // The attempt was cancelled, as its reported end may be that of an earlier one.
+    void withdrawn(const CallId& call, int attempt, const ExchangeId& exchange) const;
     void answered(const CallId& call, int attempt, const ExchangeId& exchange) const;
     // `result`: the final answer, or why none is needed.
     void closed(const CallId& call, int attempts, std::string_view result) const;
--- a/src/calls/gatekeeper.cpp
+++ b/src/calls/gatekeeper.cpp
@@ -147,6 +147,9 @@
         action.time_out > Duration::zero() ? std::min(action.time_out, time_left) : time_left;
     call.phase = Phase::attempting;
     call.exchange = action.exchange;
+    call.has_earlier_attempt_there =
+        std::find(call.tried.begin(), call.tried.end(), action.exchange) != call.tried.end();
+    if (!call.has_earlier_attempt_there) call.tried.push_back(action.exchange);
     call.sent_at = now;
     ++call.attempts;
     ++counters_.attempts;
@@ -224,6 +227,7 @@
     description_bytes_ -= call.description->size();
     call.description = nullptr;
     call.number.clear();
+    call.tried = {};
 }
 
 // ---- Callers ----------------------------------------------------------------------------------------
@@ -409,10 +413,14 @@
 
 // ---- Carrier switches -------------------------------------------------------------------------------
 
+bool Gatekeeper::is_at(Calls::iterator entry, const ExchangeId& exchange) const {
+    return entry != calls_.end() && entry->second.phase != Phase::waiting &&
+           entry->second.exchange == exchange;
+}
+
 void Gatekeeper::on_answer(const ExchangeId& exchange, const CallId& id, std::string_view description) {
     const auto entry = calls_.find(id);
-    if (entry == calls_.end() || entry->second.phase == Phase::waiting ||
-        entry->second.exchange != exchange) {
+    if (!is_at(entry, exchange)) {
         // The answer has crossed a cancellation: the call may be connected there, but has no caller here.
         ++counters_.crossed;
         return switches_.release(exchange, id);
@@ -436,8 +444,7 @@
 void Gatekeeper::on_call_ended(const ExchangeId& exchange, const CallId& id, Outcome outcome, Cause cause,
                                const LoadReport& load) {
     const auto entry = calls_.find(id);
-    if (entry == calls_.end() || entry->second.phase == Phase::waiting ||
-        entry->second.exchange != exchange) {
+    if (!is_at(entry, exchange)) {
         ++counters_.ends_ignored;
         if (entry != calls_.end()) call_log_.end_ignored(id, exchange, outcome);
         if (entry == calls_.end() && successor_) successor_->hand_over_end(exchange, id, outcome);
@@ -451,12 +458,38 @@
     end_attempt(entry, outcome == Outcome::ended ? Outcome::reset : outcome, cause, load);
 }
 
-void Gatekeeper::end_attempt(Calls::iterator entry, Outcome outcome, Cause cause, const LoadReport& load) {
+// The earlier attempts of a call that was taken over are not known. Few calls have any, so a normal end
+// counts as the call's own.
+bool Gatekeeper::is_ambiguous(const Call& call, Outcome outcome) {
+    return call.has_earlier_attempt_there || (call.taken_over && outcome != Outcome::ended);
+}
+
+// Where the end may be that of an earlier attempt, the last one may still be out, or stand, at the exchange.
+// It is withdrawn there before anything else is done with the call, so that no second one is out beside it
+// and no call stands that is over here.
+void Gatekeeper::on_unattributed_end(const ExchangeId& exchange, const CallId& id, Outcome outcome,
+                                     Cause cause, const LoadReport& load) {
+    const auto entry = calls_.find(id);
+    if (!is_at(entry, exchange) || !is_ambiguous(entry->second, outcome))
+        return on_call_ended(exchange, id, outcome, cause, load);
+    if (entry->second.phase == Phase::standing) {
+        switches_.release(exchange, id);
+        return on_call_ended(exchange, id, outcome, cause, load);
+    }
+    ++counters_.withdrawn;
+    call_log_.withdrawn(id, entry->second.attempts, exchange);
+    switches_.cancel(exchange, id);
+    end_attempt(entry, outcome == Outcome::ended ? Outcome::reset : outcome, cause, load, true);
+}
+
+void Gatekeeper::end_attempt(Calls::iterator entry, Outcome outcome, Cause cause, const LoadReport& load,
+                             bool withdrawn) {
     Call& call = entry->second;
     call.phase = Phase::waiting;
     cancel_timer(call.attempt_timer);
     const Instant now = clock_();
-    if (outcome == Outcome::timed_out || outcome == Outcome::reset || outcome == Outcome::cancelled)
+    if (withdrawn || outcome == Outcome::timed_out || outcome == Outcome::reset ||
+        outcome == Outcome::cancelled)
         call.not_before = now + settings_.release_wait;
     counters_.turned_back += outcome == Outcome::rejected;
     counters_.errors += outcome == Outcome::failed;
@@ -470,6 +503,7 @@
                               .outcome = outcome,
                               .cause = cause,
                               .final = false,
+                              .withdrawn = withdrawn,
                               .response_time = now - call.sent_at,
                               .load = load});
 }
--- a/src/calls/gatekeeper.hpp
+++ b/src/calls/gatekeeper.hpp
@@ -116,6 +116,8 @@
     void on_answer(const ExchangeId& exchange, const CallId& call, std::string_view description) override;
     void on_call_ended(const ExchangeId& exchange, const CallId& call, Outcome outcome, Cause cause,
                        const LoadReport& load) override;
+    void on_unattributed_end(const ExchangeId& exchange, const CallId& call, Outcome outcome, Cause cause,
+                             const LoadReport& load) override;
     void on_group_state(const ExchangeId& exchange, const LoadReport& load) override;
     void on_process_failed(const ExchangeId& exchange) override;
 
@@ -149,10 +151,13 @@
         int destination = kNoExchange, width = 1;
         std::string service_class, number;
         Description description;
-        int attempts = 0;      // set-ups that were sent for it or held back
-        ExchangeId exchange;   // of the attempt under way or of the standing call
-        Instant sent_at{};     // when that attempt was sent or the standing call was taken over
-        Instant not_before{};  // no attempt before this: the exchange may not have released the last one
+        int attempts = 0;                        // set-ups that were sent for it or held back
+        std::vector<ExchangeId> tried;           // where they were sent; emptied with the final answer
+        ExchangeId exchange;                     // of the attempt under way or of the standing call
+        bool has_earlier_attempt_there = false;  // at the same exchange
+        bool taken_over = false;  // from another process, whose attempts for it are not known here
+        Instant sent_at{};        // when that attempt was sent or the standing call was taken over
+        Instant not_before{};     // no attempt before this: the exchange may not have released the last one
         Instant answer_deadline{};
         std::optional<Timers::iterator> answer_timer, attempt_timer;  // std::nullopt: not set
     };
@@ -198,7 +203,13 @@
     // Whether the rules allow an attempt at this exchange now.
     bool can_set_up(const Call& call, const ExchangeId& exchange) const;
     // Reports the outcome of a call's attempt to the decision module; the call waits for another attempt.
-    void end_attempt(Calls::iterator entry, Outcome outcome, Cause cause, const LoadReport& load);
+    // `withdrawn`: as in AttemptEnded.
+    void end_attempt(Calls::iterator entry, Outcome outcome, Cause cause, const LoadReport& load,
+                     bool withdrawn = false);
+    // Whether an end with that outcome, which names only the call, may be that of an earlier attempt.
+    static bool is_ambiguous(const Call& call, Outcome outcome);
+    // Whether the call has an attempt or stands at the exchange.
+    bool is_at(Calls::iterator entry, const ExchangeId& exchange) const;
     // Removes a standing call; the caller is sent its release if `notify_caller`.
     void end_standing(Calls::iterator entry, Outcome outcome, const LoadReport& load, bool notify_caller);
     // Refuses or fails a call that has no final answer, and removes it. An attempt under way is cancelled.
--- a/src/calls/signals.hpp
+++ b/src/calls/signals.hpp
@@ -105,9 +105,16 @@
    public:
     // A set-up was answered, with the description that the caller is to get.
     virtual void on_answer(const ExchangeId& exchange, const CallId& call, std::string_view description) = 0;
-    // An attempt has failed or an answered call has ended. `load` holds what the exchange reported with it.
+    // The call's last attempt has failed or the answered call has ended. `load` holds what the exchange
+    // reported with it.
     virtual void on_call_ended(const ExchangeId& exchange, const CallId& call, Outcome outcome, Cause cause,
                                const LoadReport& load) = 0;
+    // As on_call_ended(), from a protocol whose messages name the call and not the set-up: the end may be
+    // that of an earlier set-up of the call at the exchange.
+    virtual void on_unattributed_end(const ExchangeId& exchange, const CallId& call, Outcome outcome,
+                                     Cause cause, const LoadReport& load) {
+        on_call_ended(exchange, call, outcome, cause, load);
+    }
     // The state of the circuits toward the exchange has changed.
     virtual void on_group_state(const ExchangeId& exchange, const LoadReport& load) = 0;
     // The exchange's process has died: its answered calls are cut.
--- a/src/calls/standing.cpp
+++ b/src/calls/standing.cpp
@@ -138,6 +138,7 @@
     Call& call = entry->second;
     call.phase = Phase::standing;
     call.exchange = exchange;
+    call.taken_over = true;
     call.origin = origin;
     call.link = link;
     if (link) ++link->usage.standing_calls;
--- a/src/counters.hpp
+++ b/src/counters.hpp
@@ -88,6 +88,8 @@
     std::uint64_t switch_connections_lost = 0;  // of these: ended by the far end or by a fault
     std::uint64_t feed_connections = 0;         // to the control feed
 
+    // Attempts that were cancelled because their reported end may be that of an earlier attempt.
+    std::uint64_t withdrawn = 0;
     // Ends that a carrier switch reported of calls without an attempt or a standing call there.
     std::uint64_t ends_ignored = 0;
 };
@@ -119,7 +121,7 @@
     f("operator_calls_displaced", c.operator_calls_displaced);
     f("switch_connections", c.switch_connections);
     f("switch_connections_lost", c.switch_connections_lost), f("feed_connections", c.feed_connections);
-    f("ends_ignored", c.ends_ignored);
+    f("withdrawn", c.withdrawn), f("ends_ignored", c.ends_ignored);
 }
 
 // Writes the line for the log: `counters` and name=value for each counter.
--- a/src/net/switches.cpp
+++ b/src/net/switches.cpp
@@ -71,7 +71,7 @@
         std::erase_if(waiting_, [&](const auto& w) { return w.first == call; });
         const auto at = unanswered_.find(call);
         if (at == unanswered_.end()) return;
-        at->second->send(SwitchSession::release_frame(call));
+        at->second.connection->send(SwitchSession::release_frame(call));
         unanswered_.erase(at);
     }
 
@@ -94,8 +94,13 @@
     }
     void on_call_ended(const ExchangeId& at, const CallId& call, Outcome outcome, Cause cause,
                        const LoadReport& load) override {
-        unanswered_.erase(call);
-        events_.on_call_ended(at, call, outcome, cause, load);
+        // The set-up is forgotten only afterwards, as the call table may cancel it. It may also have sent
+        // the next one by then.
+        const auto ended = unanswered_.find(call);
+        const std::uint64_t number = ended == unanswered_.end() ? 0 : ended->second.number;
+        events_.on_unattributed_end(at, call, outcome, cause, load);
+        const auto current = unanswered_.find(call);
+        if (current != unanswered_.end() && current->second.number == number) unanswered_.erase(current);
     }
     void on_group_state(const ExchangeId& at, const LoadReport& load) override {
         events_.on_group_state(at, load);
@@ -108,11 +113,16 @@
         PartialMessage partial;
     };
 
+    struct SetUp {  // one that was sent and is unanswered
+        std::shared_ptr<Connection> connection;
+        std::uint64_t number;  // of all set-ups to this switch, from 1
+    };
+
     static constexpr std::size_t kMaxPendingReleases = 4096;  // further ones are dropped
 
     void send_set_up(const CallId& call, protocol::Frame frame) {
         if (!first_set_up_since_read_) first_set_up_since_read_ = Clock::now();
-        unanswered_[call] = connection_;
+        unanswered_[call] = {connection_, ++last_set_up_number_};
         connection_->send(std::move(frame));
     }
 
@@ -121,8 +131,8 @@
     // uses.
     void fail_unanswered(const std::shared_ptr<Connection>& connection) {
         std::vector<CallId> lost;
-        for (const auto& [call, on] : unanswered_)
-            if (!connection || on == connection) lost.push_back(call);
+        for (const auto& [call, sent] : unanswered_)
+            if (!connection || sent.connection == connection) lost.push_back(call);
         for (const CallId& call : lost) {
             unanswered_.erase(call);
             log_.line("set-up at " + id_ + " lost with its connection", call);
@@ -248,9 +258,10 @@
     std::map<std::shared_ptr<Connection>, Reader*> readers_;    // owned by their coroutines
     std::optional<Clock::time_point> first_set_up_since_read_;  // when it was sent
     Clock::time_point last_read_{};                             // on any connection
-    std::map<CallId, std::shared_ptr<Connection>> unanswered_;  // set-ups, and where they were sent
-    bool has_had_set_ups_ = false;                              // a switch without set-ups may be silent
-    std::vector<std::pair<CallId, protocol::Frame>> waiting_;   // set-ups for the next connection
+    std::map<CallId, SetUp> unanswered_;
+    std::uint64_t last_set_up_number_ = 0;
+    bool has_had_set_ups_ = false;                             // a switch without set-ups may be silent
+    std::vector<std::pair<CallId, protocol::Frame>> waiting_;  // set-ups for the next connection
     std::vector<CallId> pending_releases_;
     bool stopped_ = false;
 };
--- a/src/program.cpp
+++ b/src/program.cpp
@@ -225,7 +225,7 @@
         gatekeeper_.accept_standing(at, call, origin, trunk_ ? trunk_->find_link(origin) : nullptr);
     }
     void end_standing_call(const ExchangeId& at, const CallId& call, Outcome outcome) override {
-        gatekeeper_.on_call_ended(at, call, outcome, Cause::none, {});
+        gatekeeper_.on_unattributed_end(at, call, outcome, Cause::none, {});
     }
     void release_standing_call(const CallId& call) override { gatekeeper_.accept_release(call); }
 
--- a/tests/net/calls_test.cpp
+++ b/tests/net/calls_test.cpp
@@ -188,6 +188,32 @@
     CHECK(hub.messages_for("b").size() == 1);
 }
 
+// An end that names only the call may concern an earlier attempt at the same exchange. If the last attempt
+// were not cancelled, it would be out beside the next one.
+void withdraws_an_attempt_whose_end_may_be_an_earlier_ones() {
+    TestHub hub;
+    hub.report_all_circuits();
+    hub.send_set_up("a");
+    hub.gatekeeper.on_unattributed_end("s-1", "a", Outcome::rejected, Cause::none, {});
+    CHECK(hub.set_ups.size() == 2 && hub.set_ups[1].exchange == "s-1" && hub.cancelled.empty());
+    const Instant withdrawn_at = hub.now;
+    hub.gatekeeper.on_unattributed_end("s-1", "a", Outcome::rejected, Cause::none, {});
+    CHECK(hub.cancelled.size() == 1 && hub.counters.withdrawn == 1);
+    hub.gatekeeper.on_answer("s-1", "a", "crosses the cancellation");
+    CHECK(hub.released.size() == 1 && hub.messages_for("a").empty());
+    while (hub.set_ups.size() < 3 && hub.now < withdrawn_at + 2s) hub.advance(1ms);
+    CHECK(hub.set_ups.size() == 3 && hub.now >= withdrawn_at + 300ms);
+    // The call stands; its end there is released too, whichever attempt it concerns.
+    hub.gatekeeper.on_answer("s-1", "a", "answer");
+    hub.gatekeeper.on_unattributed_end("s-1", "a", Outcome::reset, Cause::none, {});
+    CHECK((hub.messages_for("a") == Messages{"answer answer", "cut"}) && hub.released.size() == 2);
+    // An exchange where the call was not before can mean only this attempt.
+    hub.send_set_up("b", 2);
+    hub.gatekeeper.on_answer("s-2", "b", "answer");
+    hub.gatekeeper.on_unattributed_end("s-2", "b", Outcome::ended, Cause::none, {});
+    CHECK((hub.messages_for("b") == Messages{"answer answer", "ended"}) && hub.released.size() == 2);
+}
+
 void waits_for_release_after_reset() {
     TestHub hub;
     hub.report_all_circuits();
@@ -525,6 +551,7 @@
     answers_unservable_set_ups_at_once();
     only_own_connection_cancels_set_up();
     releases_call_answered_after_cancellation();
+    withdraws_an_attempt_whose_end_may_be_an_earlier_ones();
     waits_for_release_after_reset();
     counts_end_without_answer_as_reset();
     sends_no_set_up_to_draining_or_gone_exchange();
