Ignore messages about a call that come on another connection than its set-up

Callers would see an answer to an attempt that had been refused, and then a call that is cut; switches two set-ups out at once. Cause: beside a silent connection a second one is opened and the first is still read. What it brings about a call counted for the set-up that was sent on the second connection, or that still waited for a connection: the latter was then written although the call table had taken it for ended, or the call for answered. Change: a connection's messages are handled together with the connection. An answer or end whose set-up is on another connection, or not sent yet, is counted (stale_messages), logged and ignored but for the report on the circuits. Why it works: a switch answers or refuses a set-up on the connection of the set-up, and gives it up if that closes, so such a message cannot concern the set-up that is out.

--- a/src/counters.hpp
+++ b/src/counters.hpp
@@ -90,6 +90,9 @@
 
     // Attempts that were cancelled because their reported end may be that of an earlier attempt.
     std::uint64_t withdrawn = 0;
+    // Answers and ends that came on another connection than the set-up that is out, and so concern an earlier
+    // one of the call.
+    std::uint64_t stale_messages = 0;
     // Ends that a carrier switch reported of calls without an attempt or a standing call there.
     std::uint64_t ends_ignored = 0;
 };
@@ -121,7 +124,7 @@
     f("operator_calls_displaced", c.operator_calls_displaced);
     f("switch_connections", c.switch_connections);
     f("switch_connections_lost", c.switch_connections_lost), f("feed_connections", c.feed_connections);
-    f("withdrawn", c.withdrawn), f("ends_ignored", c.ends_ignored);
+    f("withdrawn", c.withdrawn), f("stale_messages", c.stale_messages), f("ends_ignored", c.ends_ignored);
 }
 
 // Writes the line for the log: `counters` and name=value for each counter.
--- a/src/net/switches.cpp
+++ b/src/net/switches.cpp
@@ -26,7 +26,7 @@
 
 // One carrier switch of the list. Its coroutines keep it alive after it was removed from the list; it is
 // stopped then and reports nothing.
-class SwitchConnections::Peer final : public std::enable_shared_from_this<Peer>, public SwitchEvents {
+class SwitchConnections::Peer final : public std::enable_shared_from_this<Peer> {
    public:
     Peer(asio::io_context& io, ExchangeId id, std::string address, Duration connect_time_out,
          SwitchEvents& events, Counters& counters, const calls::CallLog& log,
@@ -88,29 +88,36 @@
             events_.on_call_ended(id_, call, outcome, Cause::none, {});
     }
 
-    void on_answer(const ExchangeId& at, const CallId& call, std::string_view description) override {
-        unanswered_.erase(call);
-        events_.on_answer(at, call, description);
-    }
-    void on_call_ended(const ExchangeId& at, const CallId& call, Outcome outcome, Cause cause,
-                       const LoadReport& load) override {
-        // The set-up is forgotten only afterwards, as the call table may cancel it. It may also have sent
-        // the next one by then.
-        const auto ended = unanswered_.find(call);
-        const std::uint64_t number = ended == unanswered_.end() ? 0 : ended->second.number;
-        events_.on_unattributed_end(at, call, outcome, cause, load);
-        const auto current = unanswered_.find(call);
-        if (current != unanswered_.end() && current->second.number == number) unanswered_.erase(current);
-    }
-    void on_group_state(const ExchangeId& at, const LoadReport& load) override {
-        events_.on_group_state(at, load);
-    }
-    void on_process_failed(const ExchangeId& at) override { events_.on_process_failed(at); }
-
    private:
+    // Reports what one connection brings, together with the connection.
+    class ConnectionEvents final : public SwitchEvents {
+       public:
+        ConnectionEvents(Peer& peer, const Connection& connection) : peer_(peer), connection_(connection) {}
+
+        void on_answer(const ExchangeId&, const CallId& call, std::string_view description) override {
+            peer_.on_answer(connection_, call, description);
+        }
+        void on_call_ended(const ExchangeId&, const CallId& call, Outcome outcome, Cause cause,
+                           const LoadReport& load) override {
+            peer_.on_call_ended(connection_, call, outcome, cause, load);
+        }
+        void on_group_state(const ExchangeId& at, const LoadReport& load) override {
+            peer_.events_.on_group_state(at, load);
+        }
+        void on_process_failed(const ExchangeId& at) override { peer_.events_.on_process_failed(at); }
+
+       private:
+        Peer& peer_;
+        const Connection& connection_;
+    };
+
     struct Reader {  // the reading state of one connection
+        ConnectionEvents events;
         SwitchSession session;
         PartialMessage partial;
+        Reader(Peer& peer, const Connection& connection)
+            : events(peer, connection), session(peer.id_, events, peer.counters_) {}
+        Reader(const Reader&) = delete;
     };
 
     struct SetUp {  // one that was sent and is unanswered
@@ -120,6 +127,44 @@
 
     static constexpr std::size_t kMaxPendingReleases = 4096;  // further ones are dropped
 
+    // Whether a message about the call that came on this connection concerns an earlier set-up of it: the
+    // last one still waits for a connection or was sent on another one. A switch sends the answer or the
+    // refusal of a set-up on the connection of the set-up.
+    bool is_stale(const Connection& connection, const CallId& call) const {
+        if (std::any_of(waiting_.begin(), waiting_.end(), [&](const auto& w) { return w.first == call; }))
+            return true;
+        const auto sent = unanswered_.find(call);
+        return sent != unanswered_.end() && sent->second.connection.get() != &connection;
+    }
+
+    // A stale answer needs no release: its set-up was cancelled, was given up with its connection, or had
+    // ended before. A release would end the later set-up.
+    void on_answer(const Connection& connection, const CallId& call, std::string_view description) {
+        if (is_stale(connection, call)) return note_stale("answer", call);
+        unanswered_.erase(call);
+        events_.on_answer(id_, call, description);
+    }
+
+    // The set-up is forgotten only after the call table has handled its end, as the table may cancel it. It
+    // may also have sent the next one by then.
+    void on_call_ended(const Connection& connection, const CallId& call, Outcome outcome, Cause cause,
+                       const LoadReport& load) {
+        if (is_stale(connection, call)) {
+            note_stale("end", call);
+            return events_.on_group_state(id_, load);
+        }
+        const auto ended = unanswered_.find(call);
+        const std::uint64_t number = ended == unanswered_.end() ? 0 : ended->second.number;
+        events_.on_unattributed_end(id_, call, outcome, cause, load);
+        const auto current = unanswered_.find(call);
+        if (current != unanswered_.end() && current->second.number == number) unanswered_.erase(current);
+    }
+
+    void note_stale(const char* what, const CallId& call) {
+        ++counters_.stale_messages;
+        log_.line(std::string(what) + " at " + id_ + " ignored: the set-up is on another connection", call);
+    }
+
     void send_set_up(const CallId& call, protocol::Frame frame) {
         if (!first_set_up_since_read_) first_set_up_since_read_ = Clock::now();
         unanswered_[call] = {connection_, ++last_set_up_number_};
@@ -224,7 +269,7 @@
     // close_stalled() or a later connection closes it, or the peer is stopped.
     static asio::awaitable<void> read_messages(std::shared_ptr<Peer> self,
                                                std::shared_ptr<Connection> connection, std::uint64_t number) {
-        Reader reader{SwitchSession(self->id_, *self, self->counters_), {}};
+        Reader reader(*self, *connection);
         self->readers_[connection] = &reader;
         co_await connection->read_into(reader.session, [&] {
             self->last_read_ = Clock::now();
