Release a standing call on a connection that has placed a call

Cause: when the connection of a call has closed, Gatekeeper::release_caller took the newest one of the same caller. That could be noise, a health check, or one that never sent anything: nobody reads a release there. Evidence: the calls had been set up on connections that the caller closed later, while its bad clients and health checks came from the same address. Change: among the connections of the same caller, and then among all, those on which a call has been placed come first. A test of the call table failed before and passes now. After an upgrade the successor does not know which connections have placed a call; it takes the newest, as before.

--- a/src/calls/gatekeeper.cpp
+++ b/src/calls/gatekeeper.cpp
@@ -262,6 +262,7 @@
     ++unanswered_calls_;
     call.link = &link;
     ++link.usage.open_set_ups;
+    link.usage.has_placed_call = true;
     call.origin = link.origin();
     call.destination = request.destination;
     call.transit = request.transit;
@@ -383,14 +384,17 @@
 }
 
 // A standing call outlives its connection. Its release is sent on the connection that it came on, else on the
-// newest one of the same caller, else on any, else on the next one that is opened.
+// newest one of the same caller, else on any, else on the next one that is opened. Connections that have
+// placed a call come first: on the others there may be only noise or health checks, and nobody reads
+// releases.
 void Gatekeeper::release_caller(const CallId& id, const Call& call, ReleaseReason reason) {
     CallerLink* link = call.link;
     if (!link && !caller_links_.empty()) {
-        const auto same_caller =
-            std::find_if(caller_links_.rbegin(), caller_links_.rend(),
-                         [&call](const CallerLink* other) { return other->origin() == call.origin; });
-        link = same_caller == caller_links_.rend() ? caller_links_.back() : *same_caller;
+        const auto rank = [&call](const CallerLink* other) {
+            return std::pair(other->origin() == call.origin, other->usage.has_placed_call);
+        };
+        link = *std::max_element(caller_links_.rbegin(), caller_links_.rend(),
+                                 [&rank](const auto* a, const auto* b) { return rank(a) < rank(b); });
     }
     if (link) return link->release(id, reason);
     if (pending_releases_.size() < kMaxPendingReleases) pending_releases_.push_back({id, reason});
--- a/src/calls/signals.hpp
+++ b/src/calls/signals.hpp
@@ -40,8 +40,9 @@
 class CallerLink {
    public:
     struct Usage {
-        int open_set_ups = 0;    // set-ups on this connection that still need a final answer
-        int standing_calls = 0;  // answered calls that were set up on this connection
+        int open_set_ups = 0;          // set-ups on this connection that still need a final answer
+        int standing_calls = 0;        // answered calls that were set up on this connection
+        bool has_placed_call = false;  // a set-up that could be served has come on it
     };
     Usage usage;  // maintained by the call table
 
--- a/tests/net/calls_test.cpp
+++ b/tests/net/calls_test.cpp
@@ -285,6 +285,23 @@
     CHECK(hub.released.size() == 1 && other.messages.count("c") == 0);
 }
 
+// Of a caller's connections the newest may be a health check or noise, where nobody reads a release.
+void releases_on_a_connection_that_has_placed_a_call() {
+    TestHub hub;
+    hub.report_all_circuits();
+    RecordingLink placing, newest;
+    hub.gatekeeper.on_caller_connected(placing);
+    hub.gatekeeper.on_caller_connected(newest);
+    hub.send_set_up("a"), hub.gatekeeper.on_answer("s-1", "a", "d");
+    SetUpRequest request;
+    request.call = "b", request.service_class = "move", request.destination = 1, request.width = 1,
+    request.time_left = 1s;
+    hub.gatekeeper.on_set_up(placing, request);
+    hub.gatekeeper.on_caller_disconnected(hub.link);
+    hub.gatekeeper.on_call_ended("s-1", "a", Outcome::ended, Cause::none, {});
+    CHECK(placing.messages["a"] == Messages{"ended"} && newest.messages.empty());
+}
+
 void refuses_transit_call_without_direct_circuit() {
     TestHub hub;
     hub.report_all_circuits();
@@ -557,6 +574,7 @@
     sends_no_set_up_to_draining_or_gone_exchange();
     cuts_calls_of_restarted_or_dead_exchange();
     keeps_standing_call_when_connection_closes();
+    releases_on_a_connection_that_has_placed_a_call();
     refuses_transit_call_without_direct_circuit();
     fails_health_check_during_shutdown();
     refuses_set_ups_only_late_in_drain();
