Hold back signals while the process starts and ends

What was seen: in the soak a process that had been told to end and had logged its counters was ended by SIGHUP (status 1) instead of with code 0. No caller saw it, but a supervisor takes it for a crash. Cause: the program handles its signals while the event loop runs. Before and after that a SIGHUP, SIGUSR1 or a second SIGTERM has its default action. Change: the signals are blocked from the start until they are handled, and again once the event loop has ended.

--- a/src/program.cpp
+++ b/src/program.cpp
@@ -36,7 +36,8 @@
 constexpr Duration kStopCheckInterval = 20ms;
 constexpr std::size_t kBytesPerCall = 800;   // in the call table and the decision module: 750, rounded up
 constexpr std::size_t kMaxOldestCalls = 20;  // in a reply to operators
-constexpr int kMaxLoggedNotes = 100;         // of the decision module; the process logs no further ones
+constexpr int kHandledSignals[] = {SIGTERM, SIGINT, SIGUSR1, SIGHUP};
+constexpr int kMaxLoggedNotes = 100;  // of the decision module; the process logs no further ones
 // Lines about single calls and connections: how many a second, and how many at once after a quiet time.
 constexpr double kMaxEventLinesPerSecond = 20;
 constexpr double kMaxEventLineBurst = 500;
@@ -92,8 +93,8 @@
           max_callers_(max_callers(config)),
           alarm_(io),
           stop_timer_(io),
-          signals_(io, SIGTERM, SIGINT, SIGUSR1) {
-        signals_.add(SIGHUP);
+          signals_(io) {
+        for (const int signal : kHandledSignals) signals_.add(signal);
         if (!config.operators_address.empty())
             operators_.emplace(io, *net::to_endpoint(config.operators_address), *this, counters_);
         switches_.report_to(gatekeeper_);
@@ -392,9 +393,19 @@
     bool stopping_ = false;
 };
 
+// Holds back the signals that the program handles. Outside the time in which it handles them they would end
+// the process, also a SIGHUP that comes just after the start or while the process ends in an orderly way.
+void block_signals(bool block) {
+    sigset_t handled;
+    sigemptyset(&handled);
+    for (const int signal : kHandledSignals) sigaddset(&handled, signal);
+    pthread_sigmask(block ? SIG_BLOCK : SIG_UNBLOCK, &handled, nullptr);
+}
+
 }  // namespace
 
 int serve(const ServeOptions& options) {
+    block_signals(true);
     const config::Config config = load();
     std::optional<config::OperatorFile> file;
     if (!options.operator_file.empty()) file = config::read_operator_file(options.operator_file);
@@ -402,7 +413,9 @@
     if (file) log.configure(file->log.json, log::parse_level(file->log.level));
     asio::io_context io(1);
     Program program(io, config, options.operator_file, std::move(file), log);
+    block_signals(false);
     io.run();
+    block_signals(true);
     program.log_counters();
     return 0;
 }
--- a/tests/net/loopback.hpp
+++ b/tests/net/loopback.hpp
@@ -213,6 +213,12 @@
     void kill() {
         if (pid_ > 0) ::kill(pid_, SIGKILL), waitpid(std::exchange(pid_, -1), nullptr, 0);
     }
+    // Whether the program has ended; exit_code() is to be called afterwards all the same.
+    bool has_ended() const {
+        siginfo_t ended{};
+        CHECK(waitid(P_PID, static_cast<id_t>(pid_), &ended, WEXITED | WNOHANG | WNOWAIT) == 0);
+        return ended.si_pid == pid_;
+    }
     // Waits for the program to end. The signal's number, negated, if a signal ended it.
     int exit_code() {
         int status = 0;
--- a/tests/net/program_test.cpp
+++ b/tests/net/program_test.cpp
@@ -28,6 +28,18 @@
     CHECK(switch_listener.accept().fd() >= 0);
 }
 
+// A new configuration that is announced while the process ends must not turn an orderly end into a crash.
+void ends_in_order_when_reloads_come_until_its_end(const char* path) {
+    Listener switch_listener, feed_listener;
+    const int port = Listener().port();
+    Program program(path, config_json(port, feed_listener, switch_listener, "10"));
+    Peer carrier_switch = switch_listener.accept();
+    program.await_log("listening on");
+    program.signal(SIGTERM);
+    while (!program.has_ended()) program.signal(SIGHUP), usleep(20);
+    CHECK(program.exit_code() == 0);
+}
+
 // A faulty file changes nothing. A valid one changes the feed's address; the feed is resumed behind the last
 // known event, and a set-up that is pending at that time gets its answer.
 void reloads_the_configuration(const char* path) {
@@ -287,6 +299,7 @@
     ends_with_an_error_on_a_bad_configuration(arguments[1]);
     dials_a_silent_switch_again(arguments[1]);
     reloads_the_configuration(arguments[1]);
+    ends_in_order_when_reloads_come_until_its_end(arguments[1]);
     bounds_the_number_of_standing_calls(arguments[1]);
     closes_unused_connections_for_new_callers(arguments[1]);
     keeps_connections_with_standing_calls(arguments[1]);
