--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -118,7 +118,8 @@
             if (slots_[slot].link != link || !link->is_open()) return;
             for (const auto& [open, last_byte] : std::exchange(slots_[slot].open, {}))
                 rules_.caller_gave_up(open);
-            link->close();
+            link->shut_down();
+            slots_[slot].link = nullptr;
         });
 }
 
@@ -149,6 +150,7 @@
 
 void Callers::answered(std::size_t slot, const CallId& call) {
     standing_[call] = true;
+    rules_.note(call, "answered on slot " + std::to_string(slot));
     if (!world_.random.draw_bool(0.4)) return;
     world_.after(world_.draw(50, 2000), [this, slot, call] {
         const std::shared_ptr<Link> link = slots_[slot].link;
--- a/tests/soak/carrier_switch.cpp
+++ b/tests/soak/carrier_switch.cpp
@@ -49,8 +49,9 @@
     };
     report_state(gatekeeper);
     const auto send_late = [this, gatekeeper, link] {
+        if (!link->can_send()) return;  // they stay for the next connection
         for (const LateRelease& late : std::exchange(port(gatekeeper).releases, {}))
-            link->send(release_frame(late.call, late.cause));
+            link->send(release_frame(late.call, late.cause)), rules_.note(late.call, "release repeated");
     };
     world_.random.draw_bool(0.5) ? send_late() : world_.after(world_.draw(1, 400), send_late);
     link->start();
@@ -110,7 +111,7 @@
         "media of " + set_up.call + " by " + id_ + " for " + std::to_string(set_up.attempt);
     const std::string bytes = Link::to_bytes(FrameBuilder(MessageType::answer, set_up.call)
                                                  .build(std::make_shared<const std::string>(description)));
-    rules_.answer_written(set_up.call, description);
+    rules_.answer_written(set_up.call, set_up.attempt, description);
     if (world_.random.draw_bool(faults_.in_pieces))
         set_up.link->send_in_pieces(bytes, kPieceBytes, milliseconds(3));
     else
@@ -159,7 +160,7 @@
         rules_.attempt_over(attempt, AttemptEnd::given_up);
         set_ups_.erase(attempt);
     }
-    standing_.erase(call);
+    if (standing_.erase(call)) rules_.note(call, "released by the gatekeeper");
     if (World::now() < hangs_until_) return;
     link->send(FrameBuilder(MessageType::release_complete, call).build());
     if (world_.random.draw_bool(faults_.reply_to_release))
@@ -179,10 +180,13 @@
         if ((!link || !link->can_send()) && other->can_send() && other->on_message) link = other;
     const bool reported = link && link->can_send();
     if (reported) link->send(release_frame(call, 16));
+    rules_.note(call, !reported                      ? "ended unreported"
+                      : link == standing.link.lock() ? "released"
+                                                     : "released elsewhere");
     port(standing.gatekeeper).releases.push_back({call, 16});
     if (port(standing.gatekeeper).releases.size() > kMaxLateReleases)
         port(standing.gatekeeper).releases.pop_front();
-    rules_.standing_over(call, reported);
+    rules_.standing_over(call, attempt, reported);
     report_state(standing.gatekeeper);
 }
 
@@ -206,7 +210,8 @@
         for (const auto& link : std::vector(port.links)) close(link, AttemptEnd::broken);
     }
     for (const auto& [call, standing] : standing_) {
-        rules_.standing_over(call, false);
+        rules_.standing_over(call, standing.attempt, false);
+        rules_.note(call, "cut by a crash");
         port(standing.gatekeeper).releases.push_back({call, 41});
     }
     standing_.clear();
--- a/tests/soak/link.hpp
+++ b/tests/soak/link.hpp
@@ -48,6 +48,13 @@
     void stall() { is_stalled_ = true; }
     bool can_send() const { return is_open() && !is_stalled_; }
     void close() { finish(); }
+    // Sends nothing more, and reads on until the far end has closed too.
+    void shut_down() {
+        boost::system::error_code ignored;
+        is_stalled_ = true;
+        on_closed = nullptr;
+        socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    }
     // Closes with a reset instead of an orderly end.
     void reset() {
         boost::system::error_code ignored;
--- a/tests/soak/rules.cpp
+++ b/tests/soak/rules.cpp
@@ -16,7 +16,9 @@
     ++(served ? served_ : refused_);
     if (++call.final_answers > 1) violation("two final answers", describe(id));
     if (!served) return;
-    if (!call.descriptions.count(description)) violation("an answer that no switch made", describe(id));
+    const auto made = call.descriptions.find(description);
+    if (made == call.descriptions.end()) return violation("an answer that no switch made", describe(id));
+    call.serving_attempt = made->second;
     call.stands = true;
 }
 
@@ -69,8 +71,9 @@
     attempt.end = how;
 }
 
-void Rules::standing_over(const CallId& id, bool reported) {
+void Rules::standing_over(const CallId& id, int attempt, bool reported) {
     Call& call = calls_[id];
+    if (call.serving_attempt != attempt) return;
     if (!call.is_excused && call.stands)
         call.over_by =
             std::min(call.over_by, World::now() + (reported ? kMaxReleaseTime : kMaxUnreportedTime));
@@ -118,9 +121,16 @@
         else
             text << ' ' << kEnds[static_cast<int>(attempt.end)] << ' ' << world_.seconds(attempt.over);
     }
+    text << call.notes;
     return text.str();
 }
 
+void Rules::note(const CallId& id, const std::string& text) {
+    std::ostringstream line;
+    line << "; " << text << ' ' << world_.seconds(World::now());
+    calls_[id].notes += line.str();
+}
+
 std::string Rules::summary() const {
     std::ostringstream text;
     int repeated = 0;
--- a/tests/soak/rules.hpp
+++ b/tests/soak/rules.hpp
@@ -4,7 +4,6 @@
 #pragma once
 
 #include <map>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -38,7 +37,7 @@
     void caller_gave_up(const CallId& call) { calls_[call].is_excused = true; }
     void final_answer(const CallId& call, bool served, const std::string& description);
     void caller_released(const CallId& call);  // the caller was told that the answered call is over
-    void caller_ended(const CallId& call) { calls_[call].over_by = Time::max(); }
+    void caller_ended(const CallId& call) { caller_released(call); }  // the caller ended it itself
     // The gatekeeper closed the connection without an answer. `oldest`: when the first of the set-ups that
     // were open on it was sent.
     void connection_closed(const CallId& call, Time oldest);
@@ -49,11 +48,15 @@
     int taken(const CallId& call, const std::string& exchange);
     void attempt_over(int attempt, AttemptEnd how);
     bool is_out(int attempt) const { return attempts_[static_cast<std::size_t>(attempt)].is_out; }
-    void answer_written(const CallId& call, const std::string& description) {
-        calls_[call].descriptions.insert(description);
+    void answer_written(const CallId& call, int attempt, const std::string& description) {
+        calls_[call].descriptions[description] = attempt;
     }
-    // The answered call has ended at its switch; `reported`: a release was written to the gatekeeper.
-    void standing_over(const CallId& call, bool reported);
+    // The call that was answered as this attempt has ended at its switch; `reported`: a release was written
+    // to the gatekeeper. Without effect if the caller got the answer to another attempt.
+    void standing_over(const CallId& call, int attempt, bool reported);
+
+    // Something about the call that a violation is to be reported with.
+    void note(const CallId& call, const std::string& text);
 
     // ---- Discovery
     // From `at` on the gatekeeper must not send set-ups there, as far as the drain grace goes.
@@ -80,8 +83,10 @@
         Time over_by = Time::max();  // for the caller's release
         int final_answers = 0;
         bool is_excused = false, stands = false;
-        std::set<std::string> descriptions;  // of the answers that switches have written
+        std::map<std::string, int> descriptions;  // of the answers that switches have written: the attempt
+        int serving_attempt = -1;                 // whose answer the caller got
         std::vector<int> attempts;
+        std::string notes;
     };
     std::string describe(const CallId& call) const;
 
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -20,6 +20,8 @@
 namespace nettlestall::soak {
 namespace {
 
+// The gatekeepers' ports, below those that the system gives to the stand-ins.
+constexpr int kFirstPort = 20'000;
 constexpr int kGatekeepers = 3, kSwitches = 4, kConnections = 4;
 // SIGKILL comes as early as the page allows: the longest deadline and 0.7 s after SIGTERM.
 constexpr milliseconds kDeadline{2000}, kKillAfter = kDeadline + milliseconds(700);
@@ -72,15 +74,11 @@
     struct Node {
         Node(Run& run, const std::string& program, int number_)
             : number(number_),
-              listen_endpoint(find_endpoint(run.world_)),
+              listen_endpoint(own_address(), static_cast<std::uint16_t>(kFirstPort + number)),
               process(program, "n" + std::to_string(number), run.folder_),
               discovery(run.world_, run.rules_, number),
               callers(run.world_, run.rules_, run.faults_, number, listen_endpoint, kConnections, kSwitches) {
         }
-        static tcp::endpoint find_endpoint(World& world) {
-            tcp::acceptor probe(world.io, tcp::endpoint(own_address(), 0));
-            return probe.local_endpoint();
-        }
         int number;
         tcp::endpoint listen_endpoint;
         GatekeeperProcess process;
@@ -198,7 +196,7 @@
         for (const auto& node : nodes_) {
             if (node->process.has_ended()) handle_end(*node);
             if (node->process.is_running() && !node->callers.are_present() && !node->was_late &&
-                World::now() - node->started > kMaxReadyTime) {
+                !node->was_killed && World::now() - node->started > kMaxReadyTime) {
                 node->was_late = true;
                 rules_.violation("not ready", "n" + std::to_string(node->number));
             }
--- a/tests/soak/world.hpp
+++ b/tests/soak/world.hpp
@@ -24,8 +24,7 @@
 // port there stays free while it is closed for a time.
 inline asio::ip::address own_address() {
     const auto pid = static_cast<unsigned>(getpid());
-    return asio::ip::address_v4((127u << 24) | ((64 + (pid >> 16 & 63)) << 16) | (pid >> 8 & 255) << 8 |
-                                (1 + (pid & 255) % 254));
+    return asio::ip::address_v4((127u << 24) | ((64 + (pid >> 16 & 63)) << 16) | (pid & 0xffff));
 }
 
 // The event loop of one run. Everything is called from it.
