Remember where a call in transit was tried when it is set up again

On circuit groups the far hub may send the same call again, with the same id, after this hub has refused it. Cause: the second set-up was a new call for the call table, so a late second copy of the switch's refusal of the first one counted for the attempt of the second; the call would be refused once more and sent a third time while the second attempt is out at the switch. Change: for ten seconds the call table remembers where the attempts of calls in transit went that are over, at most 4096 calls. An end there is ambiguous for the next set-up of the call and withdraws its attempt. Why it works: it is the same rule as for attempts of one set-up. Callers give each set-up a new id, so other calls need no memory. Result: a test of the call table fails without the lookup (its second set-up is not cancelled) and passes with it. Not carried over: the release wait of the earlier set-up; the far hub has a wait of its own.

--- a/src/calls/gatekeeper.cpp
+++ b/src/calls/gatekeeper.cpp
@@ -76,7 +76,7 @@
 
 std::size_t Gatekeeper::table_entries() const {
     return calls_.size() + exchanges_.size() + timers_.size() + pending_releases_.size() +
-           control_.table_entry_count();
+           tried_exchanges_.size() + control_.table_entry_count();
 }
 
 void Gatekeeper::run_timers() {
@@ -199,6 +199,7 @@
     const auto entry = calls_.find(id);
     if (entry == calls_.end() || entry->second.phase == Phase::standing) return;
     if (entry->second.phase == Phase::attempting) switches_.cancel(entry->second.exchange, id);
+    remember_tried(id, entry->second);
     call_log_.closed(id, entry->second.attempts, reason == ReleaseReason::refused ? "refused" : "failed");
     CallerLink* const link = entry->second.link;
     const std::string service_class = std::move(entry->second.service_class);
@@ -219,6 +220,11 @@
         if (replies.service_class == service_class) ++(replies.*reply);
 }
 
+// Callers give each set-up a new id, so only a call in transit can come again under its id.
+void Gatekeeper::remember_tried(const CallId& id, Call& call) {
+    if (call.transit) tried_exchanges_.remember(id, std::move(call.tried), clock_());
+}
+
 void Gatekeeper::close_set_up(Call& call) {
     cancel_timer(call.answer_timer);
     cancel_timer(call.attempt_timer);
@@ -268,6 +274,7 @@
     call.transit = request.transit;
     call.is_reconnect = request.is_reconnect;
     call.redial = request.redial;
+    if (request.transit) call.tried = tried_exchanges_.take(request.call, clock_());
     call.width = request.width;
     call.service_class = request.service_class;
     call.number = request.number;
@@ -319,6 +326,7 @@
     const CallId id = entry->first;
     Call call = std::move(entry->second);
     calls_.erase(entry);
+    remember_tried(id, call);
     close_set_up(call);
     call_log_.closed(id, call.attempts, "abandoned");
     if (call.phase == Phase::attempting) switches_.cancel(call.exchange, id);
--- a/src/calls/gatekeeper.hpp
+++ b/src/calls/gatekeeper.hpp
@@ -15,6 +15,7 @@
 
 #include "calls/call_log.hpp"
 #include "calls/signals.hpp"
+#include "calls/tried_exchanges.hpp"
 #include "counters.hpp"
 
 namespace nettlestall::calls {
@@ -216,6 +217,8 @@
     void send_final_answer(const CallId& call, ReleaseReason reason);
     // Removes a call whose caller waits no longer. An attempt under way is cancelled.
     void abandon(Calls::iterator entry);
+    // To be called before a call without an answer is removed.
+    void remember_tried(const CallId& id, Call& call);
     // Sends the caller of a standing call its release.
     void release_caller(const CallId& id, const Call& call, ReleaseReason reason);
     // To be called when a call has its final answer or needs none: ends its timers, and drops its description
@@ -248,6 +251,7 @@
     CallLog call_log_;
 
     Calls calls_;
+    TriedExchanges tried_exchanges_;  // of calls in transit that are over
     std::size_t unanswered_calls_ = 0;
     std::size_t description_bytes_ = 0;  // of the unanswered calls
     Bounds bounds_;
--- a/tests/net/calls_test.cpp
+++ b/tests/net/calls_test.cpp
@@ -214,6 +214,24 @@
     CHECK((hub.messages_for("b") == Messages{"answer answer", "ended"}) && hub.released.size() == 2);
 }
 
+// The exchange that a call in transit comes from sets it up again after a refusal, with the same id. A late
+// second copy of the switch's refusal must not count for the attempt of the second set-up.
+void withdraws_an_attempt_of_a_call_in_transit_that_came_before() {
+    TestHub hub;
+    hub.report_all_circuits();
+    for (int time = 0; time < 2; ++time) {
+        hub.send_set_up("a", 1, 3s, true);
+        CHECK(hub.set_ups.size() == static_cast<std::size_t>(time) + 1);
+        hub.gatekeeper.on_unattributed_end("s-1", "a", Outcome::rejected, Cause::none, {});
+        CHECK(hub.cancelled.size() == static_cast<std::size_t>(time));
+    }
+    CHECK((hub.messages_for("a") == Messages{"refused", "refused"}));
+    hub.advance(11s);
+    hub.send_set_up("a", 1, 3s, true);  // by then nothing comes late any more
+    hub.gatekeeper.on_unattributed_end("s-1", "a", Outcome::rejected, Cause::none, {});
+    CHECK(hub.cancelled.size() == 1);
+}
+
 void waits_for_release_after_reset() {
     TestHub hub;
     hub.report_all_circuits();
@@ -569,6 +587,7 @@
     only_own_connection_cancels_set_up();
     releases_call_answered_after_cancellation();
     withdraws_an_attempt_whose_end_may_be_an_earlier_ones();
+    withdraws_an_attempt_of_a_call_in_transit_that_came_before();
     waits_for_release_after_reset();
     counts_end_without_answer_as_reset();
     sends_no_set_up_to_draining_or_gone_exchange();
