--- a/src/calls/standing.cpp
+++ b/src/calls/standing.cpp
@@ -8,6 +8,7 @@
 namespace nettlestall::calls {
 namespace {
 
+constexpr std::size_t kMaxPendingReleases = 20'000;  // further ones are dropped, to keep the memory bounded
 constexpr Duration kTableFullNoteInterval = std::chrono::seconds(10);  // the shortest time between two notes
 
 }  // namespace
@@ -47,6 +48,23 @@
             end_standing(entry, Outcome::reset, {}, true);
 }
 
+// A standing call outlives its connection. Its release is sent on the connection that it came on, else on the
+// newest one of the same caller, else on any, else on the next one that is opened. Connections that have
+// placed a call come first: on the others there may be only noise or health checks, and nobody reads
+// releases.
+void Gatekeeper::release_caller(const CallId& id, const Call& call, ReleaseReason reason) {
+    CallerLink* link = call.link;
+    if (!link && !caller_links_.empty()) {
+        const auto rank = [&call](const CallerLink* other) {
+            return std::pair(other->origin() == call.origin, other->usage.has_placed_call);
+        };
+        link = *std::max_element(caller_links_.rbegin(), caller_links_.rend(),
+                                 [&rank](const auto* a, const auto* b) { return rank(a) < rank(b); });
+    }
+    if (link) return link->release(id, reason);
+    if (pending_releases_.size() < kMaxPendingReleases) pending_releases_.push_back({id, reason});
+}
+
 // ---- The limit on the number of calls ---------------------------------------------------------------
 
 std::vector<Gatekeeper::OldCall> Gatekeeper::oldest_calls(std::size_t max_count) const {
