Let SIGTERM not wait for reloads that were announced before it

What was seen: under sanitizers the test that sends SIGHUP until the process has ended did not end for over two minutes; the process reloaded its configuration all the time. A supervisor would kill it with calls unanswered. Cause: all signals were in one set of the event loop. A set hands out the lowest signal number first, so a SIGTERM waits until no SIGHUP is left. Evidence: the stuck process had used 132 s of processor time in 133 s, and asio keeps a set's registrations in the order of their numbers. Change: SIGTERM and SIGINT have a set of their own.

--- a/src/program.cpp
+++ b/src/program.cpp
@@ -93,8 +93,8 @@
           max_callers_(max_callers(config)),
           alarm_(io),
           stop_timer_(io),
-          signals_(io) {
-        for (const int signal : kHandledSignals) signals_.add(signal);
+          signals_(io, SIGUSR1, SIGHUP),
+          termination_signals_(io, SIGTERM, SIGINT) {
         if (!config.operators_address.empty())
             operators_.emplace(io, *net::to_endpoint(config.operators_address), *this, counters_);
         switches_.report_to(gatekeeper_);
@@ -123,6 +123,7 @@
         if (trunk_ && is_first_list)
             apply({.number = 0, .has_list = true, .kind = ListKind::cached, .version = 0, .entries = {}});
         net::spawn(io, handle_signals());
+        net::spawn(io, await_termination());
         feed_.start();
         if (handover_.connect_to_predecessor()) {
             log_.info(name_ + ": another process serves, getting ready to take over");
@@ -288,20 +289,24 @@
         });
     }
 
-    // SIGUSR1 logs the counters, SIGHUP reloads the configuration, SIGTERM and SIGINT end the process.
+    // SIGUSR1 logs the counters, SIGHUP reloads the configuration.
     asio::awaitable<void> handle_signals() {
         for (;;) {
             const int signal = co_await signals_.async_wait(asio::use_awaitable);
-            if (signal == SIGUSR1) {
+            if (signal == SIGUSR1)
                 log_counters();
-            } else if (signal == SIGHUP) {
+            else
                 reload();
-            } else if (!std::exchange(stopping_, true)) {
-                net::spawn(alarm_.get_executor(), stop());
-            }
         }
     }
 
+    // SIGTERM and SIGINT end the process. A signal set hands out its lowest signal first, so in one set with
+    // SIGHUP they would wait for all reloads.
+    asio::awaitable<void> await_termination() {
+        co_await termination_signals_.async_wait(asio::use_awaitable);
+        co_await stop();
+    }
+
     // Reads and checks both files completely before it applies any of them, so that a faulty file changes
     // nothing.
     void reload() {
@@ -387,10 +392,9 @@
     std::size_t max_callers_, predecessor_connections_ = 0;
     bool serving_ = false;                   // false: a predecessor still serves
     asio::steady_timer alarm_, stop_timer_;  // alarm_: of the call table
-    asio::signal_set signals_;
+    asio::signal_set signals_, termination_signals_;
     int note_count_ = 0;  // of the decision module
     log::RateLimit event_lines_{kMaxEventLinesPerSecond, kMaxEventLineBurst};
-    bool stopping_ = false;
 };
 
 // Holds back the signals that the program handles. Outside the time in which it handles them they would end
