--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -2,7 +2,7 @@
 # Exit code 1: the rule was broken; 0: it held; 2: the case could not run. TROUBLE=0 leaves the disruption out.
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
-program="$root/review/bin/restart"
+program="$root/review/bin/cut_heals"
 if [ ! -x "$program" ] || [ ! -x "$root/build/nettlestall" ]; then
     echo "not built: run the build of the deploy file and review/build.sh" >&2
     exit 2
