Count all that a waiting set-up holds in memory, not its description alone

Cause: the bound on waiting set-ups counted descriptions. The number was held in the call table, in the decision module and in the message for the switch, after the answer and after a refusal too; entries were not counted at all. Change: the bound counts entries, numbers with both copies and descriptions. The decision module keeps a fingerprint in place of a number. A connection may hold as much as is still free for all, so greedy callers leave room for the others. Counter refused_for_memory.

--- a/src/call_control.cpp
+++ b/src/call_control.cpp
@@ -11,11 +11,13 @@
 #include <array>
 #include <cmath>
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <tuple>
 #include <utility>
 #include <vector>
@@ -277,6 +279,19 @@
 
 // ==== A call's life ================================================================================
 
+// Stands for a number called in all tables, so that a long number takes no more memory than a short one. Two
+// numbers with one fingerprint would be treated as the same number.
+using NumberFingerprint = std::uint64_t;
+constexpr NumberFingerprint kNoNumber = 0;
+
+// FNV-1a with 64 bits, the same on every platform; kNoNumber for an empty number.
+NumberFingerprint fingerprint(std::string_view number) {
+    if (number.empty()) return kNoNumber;
+    NumberFingerprint hash = 0xCBF29CE484222325u;
+    for (const char c : number) hash = (hash ^ static_cast<unsigned char>(c)) * 0x100000001B3u;
+    return hash == kNoNumber ? 1 : hash;
+}
+
 // waiting: for a route; sent: a set-up is pending; standing: answered.
 enum class Phase { waiting, sent, standing };
 
@@ -294,7 +309,7 @@
     // first_offered: of a redial, when the call was first offered. answer_by: when it must have its final
     // answer. not_before: when it may be sent again.
     Instant first_offered{}, aim_ends{}, answer_by{}, not_before{};
-    std::string number;
+    NumberFingerprint number = kNoNumber;
     int attempts = 0;
     ExchangeId sent_to;            // where the pending attempt or the standing call was sent
     int held_group = kNoExchange;  // the trunk group from here on which it holds circuits
@@ -681,7 +696,7 @@
 
     // Remembers the number of a refused call, by which its redial is recognised.
     void remember_refused(const Call& call) {
-        if (!call.transit && !call.number.empty() && refused_numbers_.size() < kMaxRefusedNumbers)
+        if (!call.transit && call.number != kNoNumber && refused_numbers_.size() < kMaxRefusedNumbers)
             refused_numbers_.try_emplace(call.number, call.first_offered);
     }
 
@@ -807,13 +822,13 @@
     }
 
     // Whether the number was found busy and is not to be tried yet.
-    bool is_number_busy(const std::string& number) const {
+    bool is_number_busy(NumberFingerprint number) const {
         const auto at = busy_numbers_.find(number);
         return at != busy_numbers_.end() && now_ < at->second.until;
     }
 
     // The number was found busy. The table is bounded: a new number replaces the one that ends first.
-    void note_busy_number(const std::string& number) {
+    void note_busy_number(NumberFingerprint number) {
         if (busy_numbers_.size() >= kMaxBusyNumbers && !busy_numbers_.count(number)) {
             auto oldest = busy_numbers_.begin();
             for (auto at = busy_numbers_.begin(); at != busy_numbers_.end(); ++at)
@@ -888,7 +903,7 @@
         call.width = event.width;
         call.advised = event.advised_exchange;
         call.transit = event.transit;
-        call.number = event.called_number;
+        call.number = fingerprint(event.called_number);
         call.order = ++last_order_;
         call.value = class_settings.worth;
         call.answer_by =
@@ -1091,8 +1106,9 @@
     std::map<CallId, Call> abandoned_;                       // abandoned with a pending attempt
     std::map<Key, CallId> waiting_;                          // in the order in which they are served
     std::deque<std::pair<Instant, CallId>> recent_set_ups_;  // of the last shortest aim, oldest first
-    std::map<std::string, BackOff> busy_numbers_;
-    std::map<std::string, Instant> refused_numbers_;  // by number: when the refused call was first offered
+    std::map<NumberFingerprint, BackOff> busy_numbers_;
+    std::map<NumberFingerprint, Instant>
+        refused_numbers_;  // by number: when the refused call was first offered
     std::map<std::pair<int, int>, BackOff> tandem_back_offs_;  // by tandem and destination
     std::uint64_t last_order_ = 0;
     int changed_exchange_ = kNoExchange;  // the exchange that the current event reported on
--- a/src/calls/gatekeeper.cpp
+++ b/src/calls/gatekeeper.cpp
@@ -21,6 +21,12 @@
 constexpr Duration kDrainWithoutHealthCheck = milliseconds(600);
 // From the command to drain until set-ups are refused. All callers must be gone 4 s after the command.
 constexpr Duration kRefusalDelayInDrain = milliseconds(1800);
+// A number called is held in the call table and once more in a set-up that waits for a connection to its
+// carrier switch. The decision module keeps no number, and descriptions are shared.
+constexpr std::size_t kNumberCopies = 2;
+// What a set-up holds besides its texts: in the tables here, in the decision module and for its carrier
+// switch.
+constexpr std::size_t kSetUpEntryBytes = 1200;
 
 }  // namespace
 
@@ -31,6 +37,7 @@
       clock_(std::move(clock)),
       switches_(switches),
       counters_(counters),
+      set_up_budget_(bounds.max_set_up_bytes),
       bounds_(bounds),
       started_(clock_()) {
     for (const ClassSettings& named : settings_.classes) replies_.push_back({.service_class = named.name});
@@ -40,6 +47,7 @@
     settings_ = settings;
     control_.apply(settings);
     bounds_ = bounds;
+    set_up_budget_.set_max_bytes(bounds.max_set_up_bytes);
 }
 
 // ---- The decision module and the timers -------------------------------------------------------------
@@ -229,12 +237,18 @@
     cancel_timer(call.attempt_timer);
     if (call.link) --call.link->usage.open_set_ups;
     --unanswered_calls_;
-    description_bytes_ -= call.description->size();
+    set_up_budget_.remove(call.set_up_bytes);
+    if (call.link) call.link->usage.set_up_bytes -= call.set_up_bytes;
+    call.set_up_bytes = 0;
     call.description = nullptr;
-    call.number.clear();
+    std::string().swap(call.number);  // clear() would keep the memory
     call.tried = {};
 }
 
+std::size_t Gatekeeper::set_up_bytes(const SetUpRequest& request) {
+    return kSetUpEntryBytes + request.description.size() + kNumberCopies * request.number.size();
+}
+
 // ---- Callers ----------------------------------------------------------------------------------------
 
 void Gatekeeper::on_set_up(CallerLink& link, const SetUpRequest& request) {
@@ -254,8 +268,10 @@
                      [&](const ClassSettings& c) { return c.name == request.service_class; });
     // Late in a drain set-ups are refused: a connection on which they come without a pause would otherwise
     // always have one open and could not be closed.
-    const bool is_full = refuses_set_ups() || is_table_full() ||
-                         description_bytes_ + request.description.size() > bounds_.max_description_bytes ||
+    const std::size_t bytes = set_up_bytes(request);
+    const bool has_room = set_up_budget_.has_room_for(link.usage.set_up_bytes, bytes);
+    counters_.refused_for_memory += !has_room;
+    const bool is_full = !has_room || refuses_set_ups() || is_table_full() ||
                          (settings_.max_open_calls > 0 &&
                           unanswered_calls_ >= static_cast<std::size_t>(settings_.max_open_calls));
     if (service_class == settings_.classes.end() || !is_valid(request, *service_class) || is_full) {
@@ -278,7 +294,9 @@
     call.service_class = request.service_class;
     call.number = request.number;
     call.description = std::make_shared<const std::string>(request.description);
-    description_bytes_ += request.description.size();
+    call.set_up_bytes = bytes;
+    set_up_budget_.add(bytes);
+    link.usage.set_up_bytes += bytes;
     const Duration time_left = std::min(request.time_left, shutdown_end_ - clock_());
     call.answer_deadline = clock_() + time_left;
     call.answer_timer = schedule(call.answer_deadline + kAnswerTimerDelay, AnswerDeadline{request.call});
--- a/src/calls/gatekeeper.hpp
+++ b/src/calls/gatekeeper.hpp
@@ -17,6 +17,7 @@
 #include "calls/signals.hpp"
 #include "calls/tried_exchanges.hpp"
 #include "counters.hpp"
+#include "shared_budget.hpp"
 
 namespace nettlestall::calls {
 
@@ -28,7 +29,9 @@
     // Limits that keep the memory bounded. Beyond them a set-up is refused at once, with the cause after
     // which a caller may dial again.
     struct Bounds {
-        std::size_t max_description_bytes = 32 * 1024 * 1024;  // of all calls without a final answer
+        // Bytes that all calls without a final answer hold: their entries in the tables, their texts, and
+        // all copies of these.
+        std::size_t max_set_up_bytes = 32 * 1024 * 1024;
         std::size_t max_calls = 1'000'000;  // calls without a final answer and standing calls
     };
     // `switches` and `counters` have to outlive the gatekeeper. `seed` is for the decision module.
@@ -152,6 +155,7 @@
         int destination = kNoExchange, width = 1;
         std::string service_class, number;
         Description description;
+        std::size_t set_up_bytes = 0;            // counted for it; zero once it has its final answer
         int attempts = 0;                        // set-ups that were sent for it or held back
         std::vector<ExchangeId> tried;           // where they were sent; emptied with the final answer
         ExchangeId exchange;                     // of the attempt under way or of the standing call
@@ -221,9 +225,11 @@
     void remember_tried(const CallId& id, Call& call);
     // Sends the caller of a standing call its release.
     void release_caller(const CallId& id, const Call& call, ReleaseReason reason);
-    // To be called when a call has its final answer or needs none: ends its timers, and drops its description
+    // To be called when a call has its final answer or needs none: ends its timers, and frees its description
     // and number, which only attempts need.
     void close_set_up(Call& call);
+    // The bytes that a set-up holds until its final answer.
+    static std::size_t set_up_bytes(const SetUpRequest& request);
     // Gives a standing call to the successor and removes it.
     void hand_over(Calls::iterator entry);
     // Releases a standing call at its exchange, for its caller, and removes it.
@@ -253,7 +259,7 @@
     Calls calls_;
     TriedExchanges tried_exchanges_;  // of calls in transit that are over
     std::size_t unanswered_calls_ = 0;
-    std::size_t description_bytes_ = 0;  // of the unanswered calls
+    SharedBudget set_up_budget_;  // of the unanswered calls; the holders are the callers' connections
     Bounds bounds_;
     Instant next_full_note_{};  // no note of a full table before this
     std::map<ExchangeId, Exchange> exchanges_;
--- a/src/calls/signals.hpp
+++ b/src/calls/signals.hpp
@@ -41,6 +41,7 @@
    public:
     struct Usage {
         int open_set_ups = 0;          // set-ups on this connection that still need a final answer
+        std::size_t set_up_bytes = 0;  // that these hold in memory
         int standing_calls = 0;        // answered calls that were set up on this connection
         bool has_placed_call = false;  // a set-up that could be served has come on it
     };
--- a/src/counters.hpp
+++ b/src/counters.hpp
@@ -19,7 +19,9 @@
     // Final answers to callers.
     std::uint64_t answered = 0;  // the call was answered
     std::uint64_t refused = 0;   // with the cause `no circuit`, after which the caller may dial again
-    std::uint64_t failed = 0;    // with the cause `fault`, after a fault or for a set-up that can't be served
+    // Set-ups that were refused, or failed, while there was no room in memory for their texts.
+    std::uint64_t refused_for_memory = 0;
+    std::uint64_t failed = 0;  // with the cause `fault`, after a fault or for a set-up that can't be served
     std::uint64_t abandoned = 0;  // none was needed: the caller cancelled or its connection closed
     std::uint64_t overdue = 0;    // failed by the timer that guards the time limit; not in failed
 
@@ -125,6 +127,7 @@
     f("switch_connections", c.switch_connections);
     f("switch_connections_lost", c.switch_connections_lost), f("feed_connections", c.feed_connections);
     f("withdrawn", c.withdrawn), f("stale_messages", c.stale_messages), f("ends_ignored", c.ends_ignored);
+    f("refused_for_memory", c.refused_for_memory);
 }
 
 // Writes the line for the log: `counters` and name=value for each counter.
--- a/src/program.cpp
+++ b/src/program.cpp
@@ -252,9 +252,9 @@
                                                  memory_bytes(config) / 2 / net::kMaxConnectionBytes));
     }
 
-    // A sixth of the memory for descriptions of waiting calls, a fifth for the call table itself.
+    // A sixth of the memory for the texts of waiting calls, a fifth for the call table itself.
     static calls::Gatekeeper::Bounds bounds(const config::Config& config) {
-        return {.max_description_bytes = memory_bytes(config) / 6,
+        return {.max_set_up_bytes = memory_bytes(config) / 6,
                 .max_calls = memory_bytes(config) / 5 / kBytesPerCall};
     }
 
--- a/tests/net/calls_test.cpp
+++ b/tests/net/calls_test.cpp
@@ -67,9 +67,9 @@
         }
         return event;
     }
-    explicit TestHub(std::size_t max_description_bytes = 1'000'000, std::size_t max_calls = 1'000'000)
+    explicit TestHub(std::size_t max_set_up_bytes = 1'000'000, std::size_t max_calls = 1'000'000)
         : gatekeeper(settings(), 5, [this] { return now; }, *this, counters,
-                     {.max_description_bytes = max_description_bytes, .max_calls = max_calls}) {
+                     {.max_set_up_bytes = max_set_up_bytes, .max_calls = max_calls}) {
         gatekeeper.apply_list(list_of(
             {{"s-0", ExchangeState::ready}, {"s-1", ExchangeState::ready}, {"s-2", ExchangeState::ready}}));
         gatekeeper.on_caller_connected(link);
--- a/tests/net/loopback.hpp
+++ b/tests/net/loopback.hpp
@@ -219,6 +219,13 @@
         CHECK(waitid(P_PID, static_cast<id_t>(pid_), &ended, WEXITED | WNOHANG | WNOWAIT) == 0);
         return ended.si_pid == pid_;
     }
+    // The memory that it has at present, in kB.
+    long memory_kb() const {
+        std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+        for (std::string word; status >> word;)
+            if (long kilobytes = 0; word == "VmRSS:" && status >> kilobytes) return kilobytes;
+        return 0;
+    }
     // Waits for the program to end. The signal's number, negated, if a signal ended it.
     int exit_code() {
         int status = 0;
