Bound queued messages by a shared budget instead of closing at 64 KiB

Cause: Connection::send() took 64 KiB in its queue for a far end that reads too slowly. Answers of several switches that are read in one turn of the event loop are more than that before the first byte can be written. A test that stops the process until all have arrived shows it; one after the other they pass. The same closed a caller's connection with the releases of 6,000 calls, and a switch's connection with long set-ups of several callers. Change: all queues of one kind share a budget that counts the memory of the messages. An answer without room becomes a failure and is released at the switch, a set-up without room ends as unreachable, and the connection stays. A caller's connection is closed after 5 s in which its far end took nothing. The shares of the memory are in MemoryPlan. A holder may take as much as it leaves free; before, one with nothing could use up the rest.

--- a/src/calls/signals.hpp
+++ b/src/calls/signals.hpp
@@ -48,7 +48,8 @@
     Usage usage;  // maintained by the call table
 
     // Sends the caller the answer to its set-up, with the description that the carrier switch has given.
-    virtual void answer(const CallId& call, Description description) = 0;
+    // False: there is no room for it, and nothing was sent.
+    virtual bool answer(const CallId& call, Description description) = 0;
     // Sends the caller the release of a call: the final answer to a set-up, or the end of an answered call.
     virtual void release(const CallId& call, ReleaseReason reason) = 0;
     // Identifies the caller: all connections of one caller have the same origin.
--- a/src/calls/switch_events.cpp
+++ b/src/calls/switch_events.cpp
@@ -27,16 +27,29 @@
     close_set_up(call);
     call_log_.answered(id, call.attempts, exchange);
     ++counters_.stood;
-    ++counters_.answered;
     if (call.link) ++call.link->usage.standing_calls;
-    if (call.link) {
-        count_reply(call.service_class, &Replies::served);
-        call.link->answer(id, std::make_shared<const std::string>(description));
-    }
+    const bool is_answered =
+        !call.link || call.link->answer(id, std::make_shared<const std::string>(description));
+    counters_.answered += is_answered;
+    if (call.link && is_answered) count_reply(call.service_class, &Replies::served);
     handle_event(CallAnswered{id, call.attempts - 1, exchange, clock_() - call.sent_at});
+    if (!is_answered) return fail_unsendable_answer(entry);
     if (successor_) hand_over(entry);
 }
 
+// The caller gets a short failure in place of the answer, and the call must not stand at the exchange.
+void Gatekeeper::fail_unsendable_answer(Calls::iterator entry) {
+    const CallId id = entry->first;
+    CallerLink* const link = entry->second.link;
+    const std::string service_class = entry->second.service_class;
+    ++counters_.answers_without_room;
+    ++counters_.failed;
+    call_log_.closed(id, entry->second.attempts, "failed, no room for its answer");
+    switches_.release(entry->second.exchange, id);
+    end_standing(entry, Outcome::cancelled, {}, false);
+    refuse_or_fail(link, id, service_class, ReleaseReason::failed);
+}
+
 void Gatekeeper::on_call_ended(const ExchangeId& exchange, const CallId& id, Outcome outcome, Cause cause,
                                const LoadReport& load) {
     const auto entry = calls_.find(id);
--- a/src/counters.hpp
+++ b/src/counters.hpp
@@ -59,7 +59,13 @@
     // Connections of callers.
     std::uint64_t client_connections = 0;              // accepted
     std::uint64_t client_connections_turned_away = 0;  // closed at once: too many are open
-    std::uint64_t overflowed = 0;  // any connection: closed because the far end reads too slowly
+    // Any connection: closed because the far end reads too slowly, after its share of the memory for messages
+    // was used up or it had taken nothing for too long.
+    std::uint64_t overflowed = 0;
+    // Answers of carrier switches that the caller was not sent, since it reads too slowly: it got a failure.
+    std::uint64_t answers_without_room = 0;
+    // Attempts that were not sent, since the carrier switch reads too slowly; in unreachable too.
+    std::uint64_t set_ups_without_room = 0;
     std::uint64_t client_connections_displaced = 0;  // closed to make room for another caller's connection
     std::uint64_t client_connections_overdue = 0;    // closed: no whole message in time
     std::uint64_t client_connections_sent_away = 0;  // closed because of a drain
@@ -120,7 +126,9 @@
     f("client_connections_passed_on", c.client_connections_passed_on);
     f("client_connections_taken_over", c.client_connections_taken_over);
     f("calls_taken_over", c.calls_taken_over);
-    f("overflowed", c.overflowed), f("reloads", c.reloads), f("reloads_refused", c.reloads_refused);
+    f("overflowed", c.overflowed), f("answers_without_room", c.answers_without_room);
+    f("set_ups_without_room", c.set_ups_without_room), f("reloads", c.reloads),
+        f("reloads_refused", c.reloads_refused);
     f("set_ups_written", c.set_ups_written), f("operator_calls", c.operator_calls);
     f("operator_calls_answered", c.operator_calls_answered);
     f("operator_calls_displaced", c.operator_calls_displaced);
--- a/src/lab/hub.cpp
+++ b/src/lab/hub.cpp
@@ -130,7 +130,7 @@
 class Hub::CallerStub final : public CallerLink {
    public:
     explicit CallerStub(Hub& hub) : hub_(hub) {}
-    void answer(const CallId& call, Description) override { hub_.handle_answer(call); }
+    bool answer(const CallId& call, Description) override { return hub_.handle_answer(call), true; }
     void release(const CallId& call, ReleaseReason reason) override { hub_.handle_release(call, reason); }
     std::string_view origin() const override { return "callers"; }
 
--- a/src/lab/live.cpp
+++ b/src/lab/live.cpp
@@ -35,6 +35,7 @@
                                         R"({"name":"live-board","points":3,"aim_s":1,"deadline_s":3}],)"
                                         R"("limits":{"send_cap":5,"open_cap":1000},)"
                                         R"("obligations":{"drain_grace_s":0.5,"grace_to_answer_s":0.02}}})";
+constexpr std::size_t kMaxQueueBytes = 64 * 1024 * 1024;  // on all connections of callers and lines
 constexpr Duration kMeanHoldingTime = std::chrono::seconds(1);
 constexpr double kWideShare = 0.1;         // share of calls that take three circuits
 constexpr milliseconds kTickInterval{50};  // calls are placed in batches, at this interval
@@ -175,7 +176,7 @@
             auto [error, socket] =
                 co_await hub.lines_acceptor->async_accept(net::asio::as_tuple(use_awaitable));
             if (error) co_return;
-            hub.line = std::make_shared<net::Connection>(std::move(socket), counters_);
+            hub.line = std::make_shared<net::Connection>(std::move(socket), queue_budget_, counters_);
             report_free_lines(hub);
             hub.line_reader = {};
             hub.line_reader.handler = [this, &hub](const Message& message) {
@@ -246,7 +247,7 @@
             socket = tcp::socket(io_);
             co_await wait(kTickInterval);
         }
-        hub.caller = std::make_shared<net::Connection>(std::move(socket), counters_);
+        hub.caller = std::make_shared<net::Connection>(std::move(socket), queue_budget_, counters_);
         hub.caller_reader.handler = [this, &hub](const Message& message) { handle_message(hub, message); };
         net::spawn(io_, read_caller(hub));
     }
@@ -349,6 +350,7 @@
     net::asio::io_context io_{1};
     net::asio::steady_timer timer_;
     Counters counters_;
+    net::QueueBudget queue_budget_ = std::make_shared<SharedBudget>(kMaxQueueBytes);
     std::string folder_;
     Hub hubs_[2];
     CallCounts counts_;
--- a/src/net/callers.cpp
+++ b/src/net/callers.cpp
@@ -24,6 +24,8 @@
 // must be closed within 3 s.
 constexpr milliseconds kMaxFirstRequestTime{2800};
 constexpr milliseconds kMaxMessageTime{2800};  // from a message's first byte to its last
+// Without the far end reading. By then the deadlines of the answers that wait for it are over.
+constexpr milliseconds kMaxBlockedTime{5000};
 
 // The address family of a socket that another process has passed on.
 tcp address_family(int descriptor) {
@@ -38,11 +40,12 @@
 // One connection of a caller.
 class CallerConnections::Caller final : public protocol::CallerSession::Output {
    public:
-    Caller(tcp::socket socket, CallerEvents& events, Counters& counters)
-        : connection_(std::make_shared<Connection>(std::move(socket), counters)),
+    Caller(tcp::socket socket, QueueBudget budget, CallerEvents& events, Counters& counters)
+        : connection_(std::make_shared<Connection>(std::move(socket), std::move(budget), counters)),
           session_(events, *this, counters, connection_->remote_address()) {}
 
     void send(protocol::Frame frame) override { connection_->send(std::move(frame)); }
+    bool send_if_room(protocol::Frame frame) override { return connection_->send_if_room(std::move(frame)); }
     Connection& connection() { return *connection_; }
     protocol::CallerSession& session() { return session_; }
     const CallerLink::Usage& usage() const { return session_.usage; }
@@ -75,12 +78,13 @@
     Clock::time_point opened_ = Clock::now();
 };
 
-CallerConnections::CallerConnections(asio::io_context& io, std::size_t max_connections, CallerEvents& events,
-                                     Counters& counters)
+CallerConnections::CallerConnections(asio::io_context& io, std::size_t max_connections,
+                                     std::size_t max_queue_bytes, CallerEvents& events, Counters& counters)
     : acceptor_(io),
       overdue_timer_(io),
       idle_timer_(io),
       max_connections_(max_connections),
+      queue_budget_(std::make_shared<SharedBudget>(max_queue_bytes)),
       events_(events),
       counters_(counters) {}
 
@@ -158,7 +162,7 @@
 }
 
 void CallerConnections::add(tcp::socket socket, bool has_sent_request, std::string_view partial_message) {
-    const auto caller = std::make_shared<Caller>(std::move(socket), events_, counters_);
+    const auto caller = std::make_shared<Caller>(std::move(socket), queue_budget_, events_, counters_);
     connections_.push_back(caller);
     events_.on_caller_connected(caller->session());
     if (!caller->session().resume(has_sent_request, partial_message)) return close(caller);
@@ -195,7 +199,7 @@
     caller->connection().close();
 }
 
-// Closes connections that never sent a request or stopped within a message.
+// Closes connections that never sent a request, stopped within a message or read nothing.
 asio::awaitable<void> CallerConnections::close_overdue() {
     while (!stopped_) {
         overdue_timer_.expires_after(kOverdueCheckInterval);
@@ -206,6 +210,11 @@
                      [now](const auto& caller) { return caller->is_overdue(now); });
         counters_.client_connections_overdue += overdue.size();
         for (const auto& caller : overdue) close(caller);
+        for (const auto& caller : connections_) {
+            if (!caller->connection().is_blocked_for(kMaxBlockedTime)) continue;
+            ++counters_.overflowed;
+            caller->connection().close(CloseReason::overflow);  // its reading ends, and with it the caller
+        }
     }
 }
 
--- a/src/net/callers.hpp
+++ b/src/net/callers.hpp
@@ -14,14 +14,16 @@
 // Accepts and owns the connections of callers, up to a bound. Closes a connection when
 //  - the far end closes it or sends a malformed message,
 //  - it has sent no request for 2.8 s after it came up, or a message is incomplete for 2.8 s,
+//  - many answers have waited for 5 s without the far end reading any of them,
 //  - another connection needs its place (see displace_one()),
 //  - it has no call and callers are to be sent elsewhere (close_idle_while()),
 //  - the process ends.
 class CallerConnections {
    public:
-    // `max_connections`: open at the same time.
-    CallerConnections(asio::io_context& io, std::size_t max_connections, CallerEvents& events,
-                      Counters& counters);
+    // `max_connections`: open at the same time. `max_queue_bytes`: memory for the messages that wait for
+    // being written on all of them.
+    CallerConnections(asio::io_context& io, std::size_t max_connections, std::size_t max_queue_bytes,
+                      CallerEvents& events, Counters& counters);
     ~CallerConnections();
 
     void listen(const tcp::endpoint& at);  // throws boost::system::system_error if it cannot
@@ -44,6 +46,7 @@
     void close_idle_while(std::function<bool()> predicate) { may_close_idle_ = std::move(predicate); }
     // Closes none of the open connections.
     void set_max_connections(std::size_t max_connections) { max_connections_ = max_connections; }
+    void set_max_queue_bytes(std::size_t bytes) { queue_budget_->set_max_bytes(bytes); }
     void stop();           // accepts no connections any more; the open ones stay
     bool is_idle() const;  // everything queued has been written
 
@@ -63,6 +66,7 @@
     asio::steady_timer overdue_timer_, idle_timer_;
     std::function<bool()> may_close_idle_ = [] { return false; };
     std::size_t max_connections_;
+    QueueBudget queue_budget_;
     CallerEvents& events_;
     Counters& counters_;
     std::vector<std::shared_ptr<Caller>> connections_;
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -17,25 +17,45 @@
 namespace {
 
 constexpr std::size_t kMaxFramesPerWrite = 32;
+// A far end that leaves less than this unread does not count as blocked.
+constexpr std::size_t kMinBlockedBytes = 64 * 1024;
 
 template <int Level, int Name>
 using IntegerOption = asio::detail::socket_option::integer<Level, Name>;
 
 }  // namespace
 
-Connection::Connection(tcp::socket socket, Counters& counters)
-    : socket_(std::move(socket)), counters_(counters) {
+Connection::Connection(tcp::socket socket, QueueBudget budget, Counters& counters)
+    : socket_(std::move(socket)), counters_(counters), budget_(std::move(budget)) {
     configure_socket(socket_);
 }
 
+Connection::~Connection() {
+    budget_->remove(held_bytes_);
+}
+
 void Connection::send(protocol::Frame frame) {
-    if (!socket_.is_open()) return;
-    queued_bytes_ += frame.size();
-    // The messages to a far end that does not read must not fill the memory.
-    if (queued_bytes_ > kMaxQueuedBytes) {
-        ++counters_.overflowed;
-        return close(CloseReason::overflow);
-    }
+    if (!is_open()) return;
+    if (budget_->has_room_for(held_bytes_, frame.held_bytes())) return enqueue(std::move(frame));
+    ++counters_.overflowed;
+    close(CloseReason::overflow);
+}
+
+bool Connection::send_if_room(protocol::Frame frame) {
+    if (!is_open()) return true;  // as with send(), what is sent after the end is dropped
+    if (!budget_->has_room_for(held_bytes_, frame.held_bytes())) return false;
+    enqueue(std::move(frame));
+    return true;
+}
+
+bool Connection::is_blocked_for(std::chrono::steady_clock::duration time) const {
+    return held_bytes_ >= kMinBlockedBytes && std::chrono::steady_clock::now() - last_progress_ >= time;
+}
+
+void Connection::enqueue(protocol::Frame frame) {
+    if (queue_.empty()) last_progress_ = std::chrono::steady_clock::now();
+    held_bytes_ += frame.held_bytes();
+    budget_->add(frame.held_bytes());
     queue_.push_back(std::move(frame));
     if (std::exchange(writing_, true)) return;
     spawn(socket_.get_executor(), write(shared_from_this()));
@@ -64,7 +84,9 @@
 void Connection::close(CloseReason reason) {
     note_close_reason(reason);
     boost::system::error_code ignored;
-    socket_.shutdown(tcp::socket::shutdown_both, ignored);
+    // Resets it, since a far end that does not read would not learn of an orderly end either.
+    if (reason == CloseReason::overflow) socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    if (reason != CloseReason::overflow) socket_.shutdown(tcp::socket::shutdown_both, ignored);
     socket_.close(ignored);
 }
 
@@ -90,32 +112,41 @@
 // Writes the queue until it is empty or the connection fails. The coroutine keeps the connection alive: its
 // owner may drop it before the coroutine starts.
 asio::awaitable<void> Connection::write(std::shared_ptr<Connection> self) {
-    std::deque<protocol::Frame>& queue = self->queue_;
-    while (!queue.empty() && self->is_open()) {
-        std::vector<asio::const_buffer> buffers;
-        const std::size_t frames = std::min(queue.size(), kMaxFramesPerWrite);
-        for (std::size_t i = 0; i < frames; ++i) {
-            buffers.push_back(asio::buffer(queue[i].header));
-            if (queue[i].description) buffers.push_back(asio::buffer(*queue[i].description));
-        }
-        const auto [error, bytes] =
-            co_await asio::async_write(self->socket_, buffers, asio::as_tuple(asio::use_awaitable));
-        self->count_written_set_ups(frames, bytes);
-        if (error) {
-            self->close(CloseReason::far_end);
-            break;
-        }
-        self->queued_bytes_ -= bytes;
-        queue.erase(queue.begin(), queue.begin() + static_cast<std::ptrdiff_t>(frames));
+    while (!self->queue_.empty() && self->is_open()) {
+        const auto [error, bytes] = co_await self->socket_.async_write_some(
+            self->next_buffers(), asio::as_tuple(asio::use_awaitable));
+        self->remove_written(bytes);
+        if (error) self->close(CloseReason::far_end);
     }
     self->writing_ = false;
 }
 
-// Also after a write that failed: the far end handles the messages that were written completely.
-void Connection::count_written_set_ups(std::size_t frames, std::size_t bytes) {
-    for (std::size_t i = 0; i < frames && queue_[i].size() <= bytes; ++i) {
-        bytes -= queue_[i].size();
-        counters_.set_ups_written += queue_[i].is_attempt;
+std::vector<asio::const_buffer> Connection::next_buffers() const {
+    std::vector<asio::const_buffer> buffers;
+    std::size_t written = written_bytes_;
+    const auto add = [&buffers, &written](const std::string& bytes) {
+        const std::size_t skipped = std::min(written, bytes.size());
+        written -= skipped;
+        if (skipped < bytes.size()) buffers.push_back(asio::buffer(bytes) + skipped);
+    };
+    const std::size_t frames = std::min(queue_.size(), kMaxFramesPerWrite);
+    for (std::size_t i = 0; i < frames; ++i) {
+        add(queue_[i].header);
+        if (queue_[i].description) add(*queue_[i].description);
+    }
+    return buffers;
+}
+
+void Connection::remove_written(std::size_t bytes) {
+    if (bytes > 0) last_progress_ = std::chrono::steady_clock::now();
+    written_bytes_ += bytes;
+    while (!queue_.empty() && written_bytes_ >= queue_.front().size()) {
+        const protocol::Frame& first = queue_.front();
+        written_bytes_ -= first.size();
+        counters_.set_ups_written += first.is_attempt;
+        held_bytes_ -= first.held_bytes();
+        budget_->remove(first.held_bytes());
+        queue_.pop_front();
     }
 }
 
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -15,31 +15,40 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "counters.hpp"
 #include "protocol/codec.hpp"
+#include "shared_budget.hpp"
 
 namespace nettlestall::net {
 
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
-// Bytes of messages that may wait for being written on one connection.
-constexpr std::size_t kMaxQueuedBytes = 64 * 1024;
-// Bytes that one connection holds at most: the queue and one message that is being read.
-constexpr std::size_t kMaxConnectionBytes = kMaxQueuedBytes + protocol::kMaxMessageBytes;
+// The memory for the messages that wait for being written on all connections of one kind. Shared, since a
+// coroutine may keep its connection for longer than the owner of the budget lives.
+using QueueBudget = std::shared_ptr<SharedBudget>;
 
 // Why a connection was closed, as far as this end knows; the first reason counts.
 enum class CloseReason { none, far_end, malformed, stalled, superseded, overflow, stopped };
 std::string_view to_string(CloseReason reason);
 
-// Owns the socket. Messages are queued and written in order, several in one write; a connection whose queue
-// would pass kMaxQueuedBytes is closed. The owner reads with read_into().
+// Owns the socket. Messages are queued and written in order, several in one write. The queue is bounded by
+// the connection's part of the budget and not by a size of its own: messages from many sources may come in
+// one turn of the event loop, before the first of them can be written. The owner reads with read_into().
 class Connection : public std::enable_shared_from_this<Connection> {
    public:
-    Connection(tcp::socket socket, Counters& counters);
+    Connection(tcp::socket socket, QueueBudget budget, Counters& counters);
+    ~Connection();
 
+    // Queues a short message whose loss the far end would not notice otherwise. Closes the connection if
+    // there is no room for it.
     void send(protocol::Frame frame);
+    // Queues a message of any size. False: there is no room for it, and the connection stays as it is.
+    bool send_if_room(protocol::Frame frame);
+    // Whether many bytes have waited for at least `time` without the far end taking any.
+    bool is_blocked_for(std::chrono::steady_clock::duration time) const;
     void close(CloseReason reason = CloseReason::stopped);  // at once; queued messages are dropped
     CloseReason close_reason() const { return close_reason_; }
     bool is_open() const { return socket_.is_open(); }
@@ -81,13 +90,19 @@
     void note_close_reason(CloseReason reason) {
         if (close_reason_ == CloseReason::none) close_reason_ = reason;
     }
-    // Counts the set-ups among the first `frames` of the queue that `bytes` written bytes cover completely.
-    void count_written_set_ups(std::size_t frames, std::size_t bytes);
+    void enqueue(protocol::Frame frame);
+    // What the next write is to send: the first messages of the queue, without the bytes written already.
+    std::vector<asio::const_buffer> next_buffers() const;
+    // Removes the messages that are complete with `bytes` further written bytes.
+    void remove_written(std::size_t bytes);
 
     tcp::socket socket_;
     Counters& counters_;
+    QueueBudget budget_;
     std::deque<protocol::Frame> queue_;
-    std::size_t queued_bytes_ = 0;
+    std::size_t held_bytes_ = 0;                             // by the messages of the queue
+    std::size_t written_bytes_ = 0;                          // of the first message
+    std::chrono::steady_clock::time_point last_progress_{};  // when bytes were written or the queue was empty
     bool writing_ = false, paused_ = false;
     CloseReason close_reason_ = CloseReason::none;
 };
--- a/src/net/switches.cpp
+++ b/src/net/switches.cpp
@@ -29,13 +29,14 @@
 class SwitchConnections::Peer final : public std::enable_shared_from_this<Peer> {
    public:
     Peer(asio::io_context& io, ExchangeId id, std::string address, Duration connect_time_out,
-         SwitchEvents& events, Counters& counters, const calls::CallLog& log,
+         QueueBudget queue_budget, SwitchEvents& events, Counters& counters, const calls::CallLog& log,
          std::uint64_t& last_connection_number)
         : io_(io),
           timer_(io),
           id_(std::move(id)),
           address_(std::move(address)),
           connect_time_out_(connect_time_out),
+          queue_budget_(std::move(queue_budget)),
           events_(events),
           counters_(counters),
           log_(log),
@@ -77,8 +78,8 @@
 
     // Without a connection the release waits for the next one, as the call may be connected at the switch.
     void release(const CallId& call) {
-        if (connection_ && connection_->is_open())
-            return connection_->send(SwitchSession::release_frame(call));
+        if (connection_ && connection_->is_open()) connection_->send(SwitchSession::release_frame(call));
+        if (connection_ && connection_->is_open()) return;
         if (pending_releases_.size() < kMaxPendingReleases) pending_releases_.push_back(call);
     }
 
@@ -166,9 +167,12 @@
     }
 
     void send_set_up(const CallId& call, protocol::Frame frame) {
+        if (!connection_->send_if_room(std::move(frame))) {
+            ++counters_.set_ups_without_room;
+            return events_.on_call_ended(id_, call, Outcome::unreachable, Cause::none, {});
+        }
         if (!first_set_up_since_read_) first_set_up_since_read_ = Clock::now();
         unanswered_[call] = {connection_, ++last_set_up_number_};
-        connection_->send(std::move(frame));
     }
 
     // Ends the unanswered set-ups of a closed connection, or of all if it is null. Each is also released on
@@ -252,7 +256,8 @@
     void use_connection(tcp::socket socket) {
         ++counters_.switch_connections;
         if (previous_) previous_->close(CloseReason::superseded);
-        previous_ = std::exchange(connection_, std::make_shared<Connection>(std::move(socket), counters_));
+        previous_ = std::exchange(connection_,
+                                  std::make_shared<Connection>(std::move(socket), queue_budget_, counters_));
         last_read_ = Clock::now();
         first_set_up_since_read_.reset();
         const std::uint64_t number = ++last_connection_number_;
@@ -295,6 +300,7 @@
     ExchangeId id_;
     std::string address_;
     Duration connect_time_out_;
+    QueueBudget queue_budget_;
     SwitchEvents& events_;
     Counters& counters_;
     const calls::CallLog& log_;
@@ -311,8 +317,12 @@
     bool stopped_ = false;
 };
 
-SwitchConnections::SwitchConnections(asio::io_context& io, Duration connect_time_out, Counters& counters)
-    : io_(io), connect_time_out_(connect_time_out), counters_(counters) {}
+SwitchConnections::SwitchConnections(asio::io_context& io, Duration connect_time_out,
+                                     std::size_t max_queue_bytes, Counters& counters)
+    : io_(io),
+      connect_time_out_(connect_time_out),
+      queue_budget_(std::make_shared<SharedBudget>(max_queue_bytes)),
+      counters_(counters) {}
 
 SwitchConnections::~SwitchConnections() = default;
 
@@ -331,8 +341,8 @@
             continue;
         }
         remove(entry.exchange);
-        auto peer = std::make_shared<Peer>(io_, entry.exchange, address, connect_time_out_, *events_,
-                                           counters_, log_, last_connection_number_);
+        auto peer = std::make_shared<Peer>(io_, entry.exchange, address, connect_time_out_, queue_budget_,
+                                           *events_, counters_, log_, last_connection_number_);
         peers_[entry.exchange] = peer;
         peer->start();
     }
--- a/src/net/switches.hpp
+++ b/src/net/switches.hpp
@@ -12,12 +12,15 @@
 namespace nettlestall::net {
 
 // Sends set-ups and releases to the carrier switches and reports what they answer. A set-up that arrives
-// while there is no connection waits for the next dial and fails if that fails. A set-up that is unanswered
-// when its connection closes fails with Outcome::reset and is released on the next connection.
+// while there is no connection waits for the next dial and fails if that fails. A set-up for which there is
+// no room, since the switch does not read, fails at once with Outcome::unreachable. A set-up that is
+// unanswered when its connection closes fails with Outcome::reset and is released on the next connection.
 class SwitchConnections final : public Switches {
    public:
     // `connect_time_out`: for a dial; the limits for silent connections are multiples of it.
-    SwitchConnections(asio::io_context& io, Duration connect_time_out, Counters& counters);
+    // `max_queue_bytes`: memory for the messages that wait for being written to all switches.
+    SwitchConnections(asio::io_context& io, Duration connect_time_out, std::size_t max_queue_bytes,
+                      Counters& counters);
     ~SwitchConnections();
 
     // To be called before the first list.
@@ -28,6 +31,7 @@
     // that are gone. Set-ups that wait for a switch that is now draining fail.
     void apply_list(const ListEvent& event);
     void set_connect_time_out(Duration time_out);
+    void set_max_queue_bytes(std::size_t bytes) { queue_budget_->set_max_bytes(bytes); }
     void stop();           // closes all connections; all unanswered set-ups fail
     bool is_idle() const;  // everything queued has been written
 
@@ -41,6 +45,7 @@
 
     asio::io_context& io_;
     Duration connect_time_out_;
+    QueueBudget queue_budget_;
     Counters& counters_;
     SwitchEvents* events_ = nullptr;
     calls::CallLog log_;
--- a/src/program.cpp
+++ b/src/program.cpp
@@ -13,6 +13,7 @@
 #include "config/operator_file.hpp"
 #include "log/log.hpp"
 #include "log/rate_limit.hpp"
+#include "memory_plan.hpp"
 #include "net/callers.hpp"
 #include "net/feed.hpp"
 #include "net/handover.hpp"
@@ -27,14 +28,11 @@
 using namespace std::chrono_literals;
 namespace asio = boost::asio;
 
-// Descriptors that callers cannot use: for the carrier switches, the feed and the process's own files.
-constexpr std::size_t kReservedSockets = 96;
 // After SIGTERM callers keep sending set-ups for up to 0.6 s.
 constexpr Duration kMinServiceAfterStop = 800ms;
 constexpr Duration kFinalWriteTime = 100ms;  // for writing the refusals at the end of the service
 constexpr Duration kMaxFeedWait = 4500ms;    // a successor process takes over without the feed after that
 constexpr Duration kStopCheckInterval = 20ms;
-constexpr std::size_t kBytesPerCall = 800;   // in the call table and the decision module: 750, rounded up
 constexpr std::size_t kMaxOldestCalls = 20;  // in a reply to operators
 constexpr int kHandledSignals[] = {SIGTERM, SIGINT, SIGUSR1, SIGHUP};
 constexpr int kMaxLoggedNotes = 100;  // of the decision module; the process logs no further ones
@@ -80,17 +78,17 @@
           listen_(config.listen_address),
           shutdown_time_limit_(config.shutdown_time_limit()),
           shutdown_time_limit_superseded_(config.shutdown_time_limit_superseded()),
-          switches_(io, config.net.connect_time_out, counters_),
+          plan_(config),
+          switches_(io, config.net.connect_time_out, plan_.switch_queue_bytes, counters_),
           routes_(switches_),
           gatekeeper_(
               config.settings, config.seed, [this] { return clock_.now(); }, routes_, counters_,
-              bounds(config)),
-          callers_(io, max_callers(config), gatekeeper_, counters_),
+              bounds(plan_)),
+          callers_(io, plan_.max_callers, plan_.caller_queue_bytes, gatekeeper_, counters_),
           feed_(
               io, net::to_endpoint(config.feed_address), config.last_event_number,
-              [this](const ListEvent& event) { apply(event); }, max_line_bytes(config), counters_),
+              [this](const ListEvent& event) { apply(event); }, plan_.feed_line_bytes, counters_),
           handover_(io, config.handover_path, *this, counters_),
-          max_callers_(max_callers(config)),
           alarm_(io),
           stop_timer_(io),
           signals_(io, SIGUSR1, SIGHUP),
@@ -221,7 +219,7 @@
     }
     void set_predecessor_connections(std::size_t connections) override {
         predecessor_connections_ = connections;
-        callers_.set_max_connections(max_callers_ - std::min(max_callers_ - 1, connections));
+        callers_.set_max_connections(plan_.max_callers - std::min(plan_.max_callers - 1, connections));
     }
     void add_standing_call(const ExchangeId& at, const CallId& call, const std::string& origin) override {
         gatekeeper_.accept_standing(at, call, origin, trunk_ ? trunk_->find_link(origin) : nullptr);
@@ -240,27 +238,10 @@
         log_.info(text, call);
     }
 
-    static std::size_t memory_bytes(const config::Config& config) {
-        return static_cast<std::size_t>(config.memory_mb) * 1024 * 1024;
+    static calls::Gatekeeper::Bounds bounds(const MemoryPlan& plan) {
+        return {.max_set_up_bytes = plan.set_up_bytes, .max_calls = plan.max_calls};
     }
 
-    // Callers' connections that the descriptors and half of the memory allow, with all queues and buffers
-    // full.
-    static std::size_t max_callers(const config::Config& config) {
-        const auto sockets = static_cast<std::size_t>(config.max_sockets);
-        return std::max<std::size_t>(1, std::min(sockets - std::min(kReservedSockets, sockets / 2),
-                                                 memory_bytes(config) / 2 / net::kMaxConnectionBytes));
-    }
-
-    // A sixth of the memory for the texts of waiting calls, a fifth for the call table itself.
-    static calls::Gatekeeper::Bounds bounds(const config::Config& config) {
-        return {.max_set_up_bytes = memory_bytes(config) / 6,
-                .max_calls = memory_bytes(config) / 5 / kBytesPerCall};
-    }
-
-    // A line of the feed takes about ten times its length while it is parsed as JSON.
-    static std::size_t max_line_bytes(const config::Config& config) { return memory_bytes(config) / 128; }
-
     // Applies an event of the list of exchanges. The call table comes first: it withdraws the attempts at an
     // exchange before the connection to it is closed.
     void apply(const ListEvent& event) {
@@ -322,13 +303,15 @@
             if (!gatekeeper_.can_apply(updated.settings))
                 json::throw_bad_input(
                     "in 'settings': 'grades', 'layout' and 'this_node' must be the same until a restart");
-            gatekeeper_.apply_settings(updated.settings, bounds(updated));
+            plan_ = MemoryPlan(updated);
+            gatekeeper_.apply_settings(updated.settings, bounds(plan_));
             shutdown_time_limit_ = updated.shutdown_time_limit();
             shutdown_time_limit_superseded_ = updated.shutdown_time_limit_superseded();
             switches_.set_connect_time_out(updated.net.connect_time_out);
-            max_callers_ = max_callers(updated);
+            switches_.set_max_queue_bytes(plan_.switch_queue_bytes);
+            callers_.set_max_queue_bytes(plan_.caller_queue_bytes);
             set_predecessor_connections(predecessor_connections_);
-            feed_.set_max_line_bytes(max_line_bytes(updated));
+            feed_.set_max_line_bytes(plan_.feed_line_bytes);
             feed_.apply_events(updated.last_event_number, updated.known_events);
             feed_.set_address(net::to_endpoint(updated.feed_address));
             if (file) {
@@ -377,6 +360,7 @@
     UnixClock clock_;
     Instant started_ = clock_.now();
     Counters counters_;
+    MemoryPlan plan_;
     net::SwitchConnections switches_;
     calls::Routes routes_;
     calls::Gatekeeper gatekeeper_;
@@ -387,9 +371,9 @@
     std::optional<net::OperatorServer> operators_;
     std::map<ExchangeId, ListedExchange> exchanges_;  // the current list, for a successor
     std::int64_t list_version_ = 0;
-    // Callers' connections: the most that both processes of an upgrade may have together, and the number that
-    // the predecessor still has.
-    std::size_t max_callers_, predecessor_connections_ = 0;
+    // Callers' connections that the predecessor still has; both processes together may have
+    // plan_.max_callers.
+    std::size_t predecessor_connections_ = 0;
     bool serving_ = false;                   // false: a predecessor still serves
     asio::steady_timer alarm_, stop_timer_;  // alarm_: of the call table
     asio::signal_set signals_, termination_signals_;
--- a/src/protocol/callers.cpp
+++ b/src/protocol/callers.cpp
@@ -107,8 +107,8 @@
     return true;
 }
 
-void CallerSession::answer(const CallId& call, Description description) {
-    output_.send(FrameBuilder(MessageType::answer, call).build(std::move(description)));
+bool CallerSession::answer(const CallId& call, Description description) {
+    return output_.send_if_room(FrameBuilder(MessageType::answer, call).build(std::move(description)));
 }
 
 void CallerSession::release(const CallId& call, ReleaseReason reason) {
--- a/src/protocol/callers.hpp
+++ b/src/protocol/callers.hpp
@@ -15,6 +15,8 @@
     class Output {
        public:
         virtual void send(Frame frame) = 0;
+        // False: there is no room for the message, and it was not sent.
+        virtual bool send_if_room(Frame frame) = 0;
 
        protected:
         ~Output() = default;
@@ -41,7 +43,7 @@
     // How many messages were read.
     std::uint64_t whole_messages() const { return reader_.whole_messages(); }
 
-    void answer(const CallId& call, Description description) override;
+    bool answer(const CallId& call, Description description) override;
     void release(const CallId& call, ReleaseReason reason) override;
     std::string_view origin() const override { return origin_; }
 
--- a/src/protocol/codec.hpp
+++ b/src/protocol/codec.hpp
@@ -119,6 +119,9 @@
     bool is_attempt = false;  // a set-up to a carrier switch: counted once all of it was written
 
     std::size_t size() const { return header.size() + (description ? description->size() : 0); }
+    // The memory that the message takes while it waits for being written; for a short one this is several
+    // times its size.
+    std::size_t held_bytes() const { return sizeof(Frame) + size(); }
 };
 
 // Encodes one message. Parameters are written in the order in which they are added. The size is not checked:
--- a/src/shared_budget.hpp
+++ b/src/shared_budget.hpp
@@ -5,7 +5,7 @@
 
 namespace nettlestall {
 
-// Counts bytes against a maximum. A holder may have as much as is still free for all, so that no holder can
+// Counts bytes against a maximum. A holder may have as much as it leaves free for all, so that no holder can
 // use up the room of the others: n of them that take what they get leave a share of 1/(n+1) free.
 class SharedBudget {
    public:
@@ -14,7 +14,8 @@
     // Whether a holder that has `held` bytes already may have `bytes` more.
     bool has_room_for(std::size_t held, std::size_t bytes) const {
         if (used_ + bytes > max_bytes_) return false;
-        return held + bytes <= max_bytes_ - used_;
+        const std::size_t left_free = max_bytes_ - used_ - bytes;
+        return held + bytes <= left_free;
     }
     void add(std::size_t bytes) { used_ += bytes; }
     void remove(std::size_t bytes) { used_ -= bytes; }
--- a/src/trunk/trunk_manager.cpp
+++ b/src/trunk/trunk_manager.cpp
@@ -188,12 +188,13 @@
     carry_out(std::move(effects));
 }
 
-void TrunkManager::Trunk::answer(const CallId& call, Description description) {
+bool TrunkManager::Trunk::answer(const CallId& call, Description description) {
     const auto found = incoming_.find(call);
-    if (found == incoming_.end()) return;
+    if (found == incoming_.end()) return true;  // the far end has released it: it needs no answer
     Effects effects;
     group_.answer(manager_.now_(), found->second, *description, effects);
     carry_out(std::move(effects));
+    return true;
 }
 
 void TrunkManager::Trunk::release(const CallId& call, ReleaseReason reason) {
--- a/src/trunk/trunk_manager.hpp
+++ b/src/trunk/trunk_manager.hpp
@@ -174,7 +174,7 @@
     CallRef ref_of(const CallId& call) const;
 
     // CallerLink: what the call table decides about the far hub's calls.
-    void answer(const CallId& call, Description description) override;
+    bool answer(const CallId& call, Description description) override;
     void release(const CallId& call, ReleaseReason reason) override;
     std::string_view origin() const override { return origin_; }
 
--- a/tests/memory/heap_test.cpp
+++ b/tests/memory/heap_test.cpp
@@ -65,6 +65,7 @@
     CallerSession session;
     Caller(CallerEvents& events, Counters& counters) : session(events, *this, counters) {}
     void send(Frame) override {}
+    bool send_if_room(Frame) override { return true; }
     bool receive(const std::string& bytes) {
         for (std::size_t at = 0; at < bytes.size();) {
             const std::span<char> space = session.read_buffer();
--- a/tests/net/codec_test.cpp
+++ b/tests/net/codec_test.cpp
@@ -66,6 +66,7 @@
     }
     void on_process_failed(const ExchangeId&) override {}
     void send(Frame frame) override { written += bytes(frame); }
+    bool send_if_room(Frame frame) override { return send(std::move(frame)), true; }
 };
 
 // Passes the text to the session, in pieces of random size if there is a `random`. Returns false as soon as
