Send releases in an upgrade through the process that holds the caller's connection

Cause: all standing calls move to the new process at once, a busy connection does not. With no connection of the caller, release_caller() took any other or the next that came. Change: the new process has the old one send such a release, on the connection of the call or another one of its caller; what is not confirmed when the old one ends goes out here. Calls name their connection by address and port, and a connection takes its calls along. Ends that come before their call are remembered, and a second copy of an answer to a call that was handed over is ignored. The messages have a version 2; version 1 is understood on both sides.

--- a/src/calls/gatekeeper.cpp
+++ b/src/calls/gatekeeper.cpp
@@ -82,8 +82,9 @@
 }
 
 std::size_t Gatekeeper::table_entries() const {
-    return calls_.size() + exchanges_.size() + timers_.size() + pending_releases_.size() +
-           tried_exchanges_.size() + control_.table_entry_count();
+    return calls_.size() + exchanges_.size() + timers_.size() + held_releases_.size() +
+           relayed_releases_.size() + early_ends_.size() + handed_over_.size() + tried_exchanges_.size() +
+           control_.table_entry_count();
 }
 
 void Gatekeeper::run_timers() {
@@ -283,8 +284,9 @@
     ++unanswered_calls_;
     call.link = &link;
     ++link.usage.open_set_ups;
-    link.usage.has_placed_call = true;
+    note_calling(link);
     call.origin = link.origin();
+    call.port = link.port();
     call.destination = request.destination;
     call.transit = request.transit;
     call.is_reconnect = request.is_reconnect;
@@ -326,6 +328,7 @@
     const auto entry = calls_.find(id);
     if (entry == calls_.end()) {  // already over, and reported twice; or handed over to the successor
         if (successor_) successor_->hand_over_release(id);
+        remember_early_end(id, {});
         return;
     }
     // Only the connection that a set-up came on can cancel it. A standing call can be released on any
@@ -334,7 +337,10 @@
         ++counters_.ignored;
         return;
     }
-    if (entry->second.phase == Phase::standing) return release_standing(entry);
+    if (entry->second.phase == Phase::standing) {
+        note_calling(link);
+        return release_standing(entry);
+    }
     ++counters_.abandoned;
     abandon(entry);
 }
@@ -386,12 +392,6 @@
            });
 }
 
-void Gatekeeper::on_caller_connected(CallerLink& link) {
-    caller_links_.push_back(&link);
-    for (const PendingRelease& pending : std::exchange(pending_releases_, {}))
-        link.release(pending.call, pending.reason);
-}
-
 void Gatekeeper::on_caller_disconnected(CallerLink& link) {
     std::erase(caller_links_, &link);
     std::vector<CallId> open;
--- a/src/calls/gatekeeper.hpp
+++ b/src/calls/gatekeeper.hpp
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "calls/call_log.hpp"
+#include "calls/held_releases.hpp"
 #include "calls/signals.hpp"
 #include "calls/tried_exchanges.hpp"
 #include "counters.hpp"
@@ -78,12 +79,18 @@
     // gatekeeper. Null: the successor has gone.
     void hand_over_to(Successor* successor);
     // Adds a standing call that the predecessor process has handed over or that the circuit ledger holds.
-    // `link` gets the call's release; null: a caller's connection gets it. A call at an exchange that is not
-    // in the list is cut at once. A call that is in the table already stays as it is.
-    void accept_standing(const ExchangeId& exchange, const CallId& call, std::string_view origin,
+    // `link` gets the call's release; null: a connection of the caller gets it. A call at an exchange that is
+    // not in the list is cut at once. A call that is in the table already stays as it is.
+    void accept_standing(const ExchangeId& exchange, const CallId& call, const CallerAddress& caller,
                          CallerLink* link = nullptr);
     // Releases a standing call: its caller's release came to the predecessor process.
     void accept_release(const CallId& call);
+    // Has releases for callers whose connections the predecessor still holds sent there. Null: it has gone.
+    void use_predecessor(Predecessor* predecessor);
+    // The predecessor has tried to send a release.
+    void on_release_relayed(const CallId& call, bool is_delivered);
+    // Sends a release for the successor. False: the caller has no connection here.
+    bool deliver_release(const CallId& call, const CallerAddress& caller, ReleaseReason reason);
 
     struct OldCall {
         CallId call;
@@ -144,12 +151,16 @@
     struct AnswerDeadline {  // the last time for the call's final answer
         CallId call;
     };
-    using Timer = std::variant<ModuleTimer, AttemptTimeout, AnswerDeadline>;
+    struct HeldReleaseTimeout {  // the releases for a caller have waited long enough for a certain connection
+        std::string origin;
+    };
+    using Timer = std::variant<ModuleTimer, AttemptTimeout, AnswerDeadline, HeldReleaseTimeout>;
     using Timers = std::multimap<Instant, Timer>;
 
     struct Call {
         CallerLink* link = nullptr;  // the connection that it came on; null once that was closed
         std::string origin;          // of that connection
+        int port = kNoPort;          // likewise
         Phase phase = Phase::waiting;
         bool transit = false, is_reconnect = false, redial = false;
         int destination = kNoExchange, width = 1;
@@ -189,6 +200,7 @@
     void on_timer(const ModuleTimer& timer);
     void on_timer(const AttemptTimeout& timer);
     void on_timer(const AnswerDeadline& timer);
+    void on_timer(const HeldReleaseTimeout& timer);
 
     void carry_out(const SetUp& action);
     void carry_out(const Refuse& action);
@@ -225,6 +237,24 @@
     void remember_tried(const CallId& id, Call& call);
     // Sends the caller of a standing call its release.
     void release_caller(const CallId& id, const Call& call, ReleaseReason reason);
+    // Sends a release on any connection on which its caller has placed a call, or holds it until there is
+    // one.
+    void send_or_hold(CallerRelease release);
+    // The connection itself; null: it is not here.
+    CallerLink* find_connection(const CallerAddress& caller) const;
+    // The caller's newest connection on which it has placed a call; null: there is none.
+    CallerLink* find_calling_connection(std::string_view origin) const;
+    // The caller's newest connection that is no health check's; null: there is none.
+    CallerLink* find_unused_connection(std::string_view origin) const;
+    // Sends all releases that were held for the connection's caller.
+    void send_held_releases(CallerLink& link);
+    // To be called when a connection has shown that a caller with calls uses it.
+    void note_calling(CallerLink& link);
+    // Remembers that a call is over which the predecessor may be about to hand over. `exchange`: where it has
+    // ended; empty if its caller has released it.
+    void remember_early_end(const CallId& call, const ExchangeId& exchange);
+    // Gives the connection the standing calls that were set up on it in the predecessor process.
+    void adopt_calls(CallerLink& link);
     // To be called when a call has its final answer or needs none: ends its timers, and frees its description
     // and number, which only attempts need.
     void close_set_up(Call& call);
@@ -266,17 +296,17 @@
     Instant next_full_note_{};  // no note of a full table before this
     std::map<ExchangeId, Exchange> exchanges_;
     std::vector<CallerLink*> caller_links_;  // open connections, the newest last
-    struct PendingRelease {
-        CallId call;
-        ReleaseReason reason;
-    };
-    std::vector<PendingRelease> pending_releases_;  // sent once a caller connects: none was connected
+    HeldReleases held_releases_;
+    std::map<CallId, CallerRelease> relayed_releases_;  // to the predecessor, which has not replied yet
+    std::map<CallId, ExchangeId> early_ends_;           // as remember_early_end() says
+    std::set<CallId> handed_over_;                      // answered calls that the successor owns
     Timers timers_;
     std::deque<Event> events_;  // to be handled
     std::vector<Action> actions_;
     bool handling_events_ = false;
     Instant started_{};
     Successor* successor_ = nullptr;
+    Predecessor* predecessor_ = nullptr;
     bool shutting_down_ = false;
     struct Drain {
         Instant since{};
--- a/src/calls/signals.hpp
+++ b/src/calls/signals.hpp
@@ -36,6 +36,15 @@
 // of an answered call, or an answered call that was cut.
 enum class ReleaseReason { refused, failed, ended, cut };
 
+constexpr int kNoPort = 0;
+
+// Where a caller's connection comes from. All connections of one caller have the same origin. With the port,
+// which is the far end's, it identifies one connection, also after that was passed on to another process.
+struct CallerAddress {
+    std::string origin;
+    int port = kNoPort;  // kNoPort: not known
+};
+
 // One connection of a caller, or the trunk group of a hub that sends calls, as the call table sees it.
 class CallerLink {
    public:
@@ -43,9 +52,10 @@
         int open_set_ups = 0;          // set-ups on this connection that still need a final answer
         std::size_t set_up_bytes = 0;  // that these hold in memory
         int standing_calls = 0;        // answered calls that were set up on this connection
-        bool has_placed_call = false;  // a set-up that could be served has come on it
+        bool has_placed_call = false;  // a set-up that could be served, or a call's release, has come on it
+        bool has_sent_health_check = false;
     };
-    Usage usage;  // maintained by the call table
+    Usage usage;  // maintained by the call table, but for the health checks
 
     // Sends the caller the answer to its set-up, with the description that the carrier switch has given.
     // False: there is no room for it, and nothing was sent.
@@ -54,6 +64,8 @@
     virtual void release(const CallId& call, ReleaseReason reason) = 0;
     // Identifies the caller: all connections of one caller have the same origin.
     virtual std::string_view origin() const = 0;
+    // The far end's port; kNoPort if there is none.
+    virtual int port() const { return kNoPort; }
 
    protected:
     ~CallerLink() = default;
@@ -152,8 +164,9 @@
 // everything about them is passed on to it.
 class Successor {
    public:
-    // A call has been answered: from now on the successor owns it.
-    virtual void hand_over_call(const ExchangeId& exchange, const CallId& call, std::string_view origin) = 0;
+    // A call has been answered: from now on the successor owns it. `caller`: the connection that it came on.
+    virtual void hand_over_call(const ExchangeId& exchange, const CallId& call,
+                                const CallerAddress& caller) = 0;
     // A call that the successor owns has ended at its exchange.
     virtual void hand_over_end(const ExchangeId& exchange, const CallId& call, Outcome outcome) = 0;
     // A call that the successor owns was released by its caller.
@@ -163,6 +176,18 @@
     ~Successor() = default;
 };
 
+// The process that this one takes over from. A connection that always has an open set-up stays there, while
+// its standing calls are owned here.
+class Predecessor {
+   public:
+    // Has the predecessor send the release of a call, on the connection that the call came on or on another
+    // one of the same caller. Whether it could is reported back.
+    virtual void relay_release(const CallId& call, const CallerAddress& caller, ReleaseReason reason) = 0;
+
+   protected:
+    ~Predecessor() = default;
+};
+
 // ---- The list of exchanges --------------------------------------------------------------------------
 
 // An entry of the list, with the address of the exchange's carrier switch.
--- a/src/calls/switch_events.cpp
+++ b/src/calls/switch_events.cpp
@@ -17,6 +17,7 @@
 void Gatekeeper::on_answer(const ExchangeId& exchange, const CallId& id, std::string_view description) {
     const auto entry = calls_.find(id);
     if (!is_at(entry, exchange)) {
+        if (entry == calls_.end() && handed_over_.count(id)) return;  // reported twice; the successor has it
         // The answer has crossed a cancellation: the call may be connected there, but has no caller here.
         ++counters_.crossed;
         return switches_.release(exchange, id);
@@ -57,6 +58,8 @@
         ++counters_.ends_ignored;
         if (entry != calls_.end()) call_log_.end_ignored(id, exchange, outcome);
         if (entry == calls_.end() && successor_) successor_->hand_over_end(exchange, id, outcome);
+        // Any other end may be that of an earlier attempt of the call.
+        if (entry == calls_.end() && outcome == Outcome::ended) remember_early_end(id, exchange);
         // Too late for the call, but the report on the circuits is of use.
         return on_group_state(exchange, load);
     }
--- a/src/counters.hpp
+++ b/src/counters.hpp
@@ -62,6 +62,10 @@
     // Any connection: closed because the far end reads too slowly, after its share of the memory for messages
     // was used up or it had taken nothing for too long.
     std::uint64_t overflowed = 0;
+    // Releases of standing calls that did not go to the connection of the set-up in this process.
+    std::uint64_t releases_relayed = 0;    // given to the predecessor, which may hold that connection
+    std::uint64_t releases_elsewhere = 0;  // sent on another connection of the caller
+    std::uint64_t releases_held = 0;       // kept until the caller has a connection
     // Answers of carrier switches that the caller was not sent, since it reads too slowly: it got a failure.
     std::uint64_t answers_without_room = 0;
     // Attempts that were not sent, since the carrier switch reads too slowly; in unreachable too.
@@ -126,6 +130,8 @@
     f("client_connections_passed_on", c.client_connections_passed_on);
     f("client_connections_taken_over", c.client_connections_taken_over);
     f("calls_taken_over", c.calls_taken_over);
+    f("releases_relayed", c.releases_relayed), f("releases_elsewhere", c.releases_elsewhere);
+    f("releases_held", c.releases_held);
     f("overflowed", c.overflowed), f("answers_without_room", c.answers_without_room);
     f("set_ups_without_room", c.set_ups_without_room), f("reloads", c.reloads),
         f("reloads_refused", c.reloads_refused);
--- a/src/lab/hub.cpp
+++ b/src/lab/hub.cpp
@@ -252,7 +252,7 @@
             const ExchangeId exchange = record.outgoing
                                             ? process.trunk_manager.find(record.group)->settings().exchange
                                             : record.exchange;
-            process.gatekeeper.accept_standing(exchange, record.call, record.origin, link);
+            process.gatekeeper.accept_standing(exchange, record.call, {.origin = record.origin}, link);
         });
     }
     // This process has no ledger, or one that the previous process did not write: it does not know that
--- a/src/net/callers.cpp
+++ b/src/net/callers.cpp
@@ -146,26 +146,26 @@
             continue;
         }
         ++counters_.client_connections;
-        add(std::move(socket), false, {});
+        add(std::move(socket), {});
     }
 }
 
-void CallerConnections::take_over_connection(int descriptor, bool has_sent_request,
-                                             std::string_view partial_message) {
+void CallerConnections::take_over_connection(int descriptor, const protocol::CallerState& state) {
     tcp::socket socket(acceptor_.get_executor());
     boost::system::error_code error;
     socket.assign(address_family(descriptor), descriptor, error);
     if (error) ::close(descriptor);
     if (error) return;
     ++counters_.client_connections_taken_over;
-    add(std::move(socket), has_sent_request, partial_message);
+    add(std::move(socket), state);
 }
 
-void CallerConnections::add(tcp::socket socket, bool has_sent_request, std::string_view partial_message) {
+void CallerConnections::add(tcp::socket socket, const protocol::CallerState& state) {
     const auto caller = std::make_shared<Caller>(std::move(socket), queue_budget_, events_, counters_);
     connections_.push_back(caller);
+    caller->session().usage.has_placed_call = state.has_placed_call;
     events_.on_caller_connected(caller->session());
-    if (!caller->session().resume(has_sent_request, partial_message)) return close(caller);
+    if (!caller->session().resume(state)) return close(caller);
     spawn(acceptor_.get_executor(), serve(caller));
 }
 
@@ -248,10 +248,9 @@
         // If a set-up has come since the reading was paused, the connection is served on here.
         if (!pass_on_ || !caller->can_be_passed_on() || std::erase(connections_, caller) == 0) continue;
         ++counters_.client_connections_passed_on;
-        const std::string partial_message(session.partial_message());
         events_.on_caller_disconnected(session);
         const int descriptor = connection.release();
-        if (descriptor >= 0) pass_on_(descriptor, session.has_sent_request(), partial_message);
+        if (descriptor >= 0) pass_on_(descriptor, session.state());
         co_return;
     }
     close(caller);
--- a/src/net/callers.hpp
+++ b/src/net/callers.hpp
@@ -34,12 +34,12 @@
     void pause_accepting();
     void resume_accepting();
 
-    // Hands each connection to `pass_on` as soon as it has no open set-up, with the bytes of an incomplete
-    // message that have arrived. The descriptor then belongs to `pass_on`. Null: hands on no further ones.
-    using PassOn = std::function<void(int descriptor, bool has_sent_request, std::string partial_message)>;
+    // Hands each connection to `pass_on` as soon as it has no open set-up. The descriptor then belongs to
+    // `pass_on`. Null: hands on no further ones.
+    using PassOn = std::function<void(int descriptor, protocol::CallerState state)>;
     void pass_connections_to(PassOn pass_on) { pass_on_ = std::move(pass_on); }
     // Serves a connection that another process has passed on; owns the descriptor.
-    void take_over_connection(int descriptor, bool has_sent_request, std::string_view partial_message);
+    void take_over_connection(int descriptor, const protocol::CallerState& state);
     std::size_t connection_count() const { return connections_.size(); }
 
     // While `predicate` is true, closes connections that have neither an open set-up nor a standing call.
@@ -56,7 +56,7 @@
     asio::awaitable<void> accept();
     asio::awaitable<void> close_overdue();
     asio::awaitable<void> close_idle();
-    void add(tcp::socket socket, bool has_sent_request, std::string_view partial_message);
+    void add(tcp::socket socket, const protocol::CallerState& state);
     asio::awaitable<void> serve(std::shared_ptr<Caller> caller);
     bool displace_one();  // false: each connection has an open set-up
     // Closes at once, not when the coroutine ends: nothing more is sent on it, and its place is free.
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -103,10 +103,11 @@
     return error ? -1 : descriptor;
 }
 
-std::string Connection::remote_address() const {
+CallerAddress Connection::remote_address() const {
     boost::system::error_code error;
     const tcp::endpoint remote = socket_.remote_endpoint(error);
-    return error ? std::string() : remote.address().to_string();
+    if (error) return {};
+    return {.origin = remote.address().to_string(), .port = remote.port()};
 }
 
 // Writes the queue until it is empty or the connection fails. The coroutine keeps the connection alive: its
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -17,6 +17,7 @@
 #include <string_view>
 #include <vector>
 
+#include "calls/signals.hpp"
 #include "counters.hpp"
 #include "protocol/codec.hpp"
 #include "shared_budget.hpp"
@@ -52,7 +53,7 @@
     void close(CloseReason reason = CloseReason::stopped);  // at once; queued messages are dropped
     CloseReason close_reason() const { return close_reason_; }
     bool is_open() const { return socket_.is_open(); }
-    std::string remote_address() const;              // without the port; empty if there is no far end
+    CallerAddress remote_address() const;            // empty if there is no far end
     bool is_idle() const { return queue_.empty(); }  // everything queued has been written
 
     // Ends read_into(): at once if no write is under way, otherwise after its next read or when this is
--- a/src/net/handover.cpp
+++ b/src/net/handover.cpp
@@ -5,6 +5,7 @@
 #include <sys/un.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstdio>
 #include <cstring>
@@ -24,6 +25,25 @@
 constexpr milliseconds kAcceptRetryPause{100};
 constexpr std::size_t kMaxDescriptorsPerRead = 8;  // size of the control buffer
 
+// A flag as a part of a message.
+std::string to_flag(bool value) {
+    return value ? "1" : "0";
+}
+bool is_set(const std::string& flag) {
+    return flag == "1";
+}
+
+int to_port(const std::string& text) {
+    return static_cast<int>(std::clamp<std::int64_t>(protocol::to_integer(text).value_or(kNoPort), 0, 65535));
+}
+
+// An unknown reason counts as a cut.
+ReleaseReason to_reason(const std::string& text) {
+    for (const ReleaseReason reason : {ReleaseReason::refused, ReleaseReason::failed, ReleaseReason::ended})
+        if (text == std::to_string(static_cast<int>(reason))) return reason;
+    return ReleaseReason::cut;
+}
+
 // 0 if there is no such file.
 std::uint64_t inode_of(const std::string& path) {
     struct stat found {};
@@ -163,15 +183,20 @@
 
 bool Handover::connect_to_predecessor() {
     if (path_.empty()) return false;
+    auto channel = connect();
+    if (!channel) return false;
+    spawn(io_, take_over_from(std::move(channel)));
+    return true;
+}
+
+std::shared_ptr<Handover::Channel> Handover::connect() {
     local::socket socket(io_);
     boost::system::error_code error;
     socket.open(local(), error);
     socket.non_blocking(true, error);
     // A Unix socket connects at once if a process listens; the file of a process that was killed refuses.
     socket.connect(local::endpoint(path_), error);
-    if (error) return false;
-    spawn(io_, take_over_from(std::make_shared<Channel>(std::move(socket))));
-    return true;
+    return error ? nullptr : std::make_shared<Channel>(std::move(socket));
 }
 
 // Binds under a temporary name and renames it, so that a new process finds a serving process at any time.
@@ -226,8 +251,9 @@
 // that happens after the successor has taken over, the successor has failed, and this process serves again.
 asio::awaitable<void> Handover::serve_successor(std::shared_ptr<Channel> to) {
     std::optional<Message> message = co_await to->receive(kMaxReplyTime);
-    if (message && message->is_valid_hello()) {
-        to->send(Message::hello(), Descriptor(::dup(process_.listener_descriptor())));
+    if (const auto version = message ? message->hello_version() : std::nullopt) {
+        successor_version_ = *version;
+        to->send(Message::hello(*version), Descriptor(::dup(process_.listener_descriptor())));
         to->send({Kind::exchange_list, {process_.exchange_list()}}, Descriptor());
         message = co_await to->receive(kMaxPreparationTime + kMaxPreparationTime / 2);
         if (message && message->kind == Kind::take_over && !stopped_) {
@@ -236,7 +262,7 @@
             // Sends the standing calls, which the successor has to know before it serves.
             process_.begin_handover();
             to->send({Kind::handed_over, {}}, Descriptor());
-            while (message) message = co_await to->receive();
+            while ((message = co_await to->receive())) handle_from_successor(*message);
         }
     }
     to->close();
@@ -251,21 +277,36 @@
     if (successor_) successor_->send(message, std::move(descriptor));
 }
 
-void Handover::pass_on_caller(Descriptor connection, bool has_sent_request, std::string partial_message) {
-    send_to_successor({Kind::caller_connection, {has_sent_request ? "1" : "0", std::move(partial_message)}},
-                      std::move(connection));
+// A release that the successor owes to a caller whose connection is here.
+void Handover::handle_from_successor(const Message& message) {
+    if (message.kind != Kind::release_to_relay) return;
+    const CallId& call = message.parts[0];
+    const CallerAddress caller{.origin = message.parts[1], .port = to_port(message.parts[2])};
+    const bool is_delivered = process_.deliver_release(call, caller, to_reason(message.parts[3]));
+    send_to_successor({Kind::release_relayed, {call, to_flag(is_delivered)}});
+}
+
+void Handover::pass_on_caller(Descriptor connection, protocol::CallerState state) {
+    Message message{Kind::caller_connection,
+                    {to_flag(state.has_sent_request), std::move(state.partial_message)}};
+    if (successor_version_ >= protocol::kRelayHandoverVersion)
+        message.parts.push_back(to_flag(state.has_placed_call));
+    send_to_successor(std::move(message), std::move(connection));
 }
 
 void Handover::report_remaining(std::size_t connections) {
     send_to_successor({Kind::remaining_callers, {std::to_string(connections)}});
 }
 
-void Handover::hand_over_call(const ExchangeId& at, const CallId& call, std::string_view origin) {
-    send_to_successor({Kind::standing_call, {at, call, std::string(origin)}});
+void Handover::hand_over_call(const ExchangeId& at, const CallId& call, const CallerAddress& caller) {
+    Message message{Kind::standing_call, {at, call, caller.origin}};
+    if (successor_version_ >= protocol::kRelayHandoverVersion)
+        message.parts.push_back(std::to_string(caller.port));
+    send_to_successor(std::move(message));
 }
 
 void Handover::hand_over_end(const ExchangeId& at, const CallId& call, Outcome outcome) {
-    send_to_successor({Kind::call_ended, {at, call, outcome == Outcome::ended ? "1" : "0"}});
+    send_to_successor({Kind::call_ended, {at, call, to_flag(outcome == Outcome::ended)}});
 }
 
 void Handover::hand_over_release(const CallId& call) {
@@ -278,25 +319,62 @@
 // then handles its messages until the predecessor closes the connection or sends something malformed.
 asio::awaitable<void> Handover::take_over_from(std::shared_ptr<Channel> from) {
     const bool handed_over = co_await prepare_to_take_over(from);
-    if (!handed_over) from->close();
+    if (!handed_over) end_predecessor(*from);
     if (stopped_) co_return;
     counters_.handovers_taken += handed_over;
     process_.take_over();
     listen_for_successor();
     while (const std::optional<Message> message = co_await from->receive()) handle(*from, *message);
-    from->close();
+    end_predecessor(*from);
     process_.set_predecessor_connections(0);
 }
 
+void Handover::end_predecessor(Channel& from) {
+    from.close();
+    predecessor_ = nullptr;
+    process_.use_predecessor(nullptr);
+}
+
+void Handover::relay_release(const CallId& call, const CallerAddress& caller, ReleaseReason reason) {
+    if (!predecessor_) return;
+    predecessor_->send(
+        {Kind::release_to_relay,
+         {call, caller.origin, std::to_string(caller.port), std::to_string(static_cast<int>(reason))}},
+        Descriptor());
+}
+
+// Offers one version after the other, each on a new connection: a process that does not know the version
+// closes the connection. One that does not reply at all is not asked again, since the time does not suffice.
+asio::awaitable<bool> Handover::greet(std::shared_ptr<Channel>& from) {
+    const auto start = std::chrono::steady_clock::now();
+    for (int version = protocol::kNewestHandoverVersion; version >= protocol::kOldestHandoverVersion;
+         --version) {
+        from->send(Message::hello(version), Descriptor());
+        const std::optional<Message> message = co_await from->receive(kMaxReplyTime);
+        if (message) {
+            Descriptor listener = from->take_received_descriptor();
+            if (message->hello_version() != version || !listener) co_return false;
+            process_.use_listener(std::move(listener));
+            if (version >= protocol::kRelayHandoverVersion) {
+                predecessor_ = from;
+                process_.use_predecessor(this);
+            }
+            co_return true;
+        }
+        from->close();
+        if (std::chrono::steady_clock::now() - start >= kMaxReplyTime) break;
+        const auto next = connect();
+        if (!next) break;
+        from = next;
+    }
+    co_return false;
+}
+
 // The part before the successor serves. False: the predecessor has not handed over; the successor starts with
 // what it has got.
-asio::awaitable<bool> Handover::prepare_to_take_over(std::shared_ptr<Channel> from) {
-    from->send(Message::hello(), Descriptor());
+asio::awaitable<bool> Handover::prepare_to_take_over(std::shared_ptr<Channel>& from) {
+    if (!co_await greet(from)) co_return false;
     std::optional<Message> message = co_await from->receive(kMaxReplyTime);
-    Descriptor listener = from->take_received_descriptor();
-    if (!message || !message->is_valid_hello() || !listener) co_return false;
-    process_.use_listener(std::move(listener));
-    message = co_await from->receive(kMaxReplyTime);
     if (!message || message->kind != Kind::exchange_list) co_return false;
     process_.apply_list(message->parts[0]);
     asio::steady_timer poll_timer(io_);
@@ -315,22 +393,32 @@
     const auto& parts = message.parts;
     switch (message.kind) {
         case Kind::caller_connection:
+            // An older version does not tell whether a call was placed; most connections with a request have.
             if (Descriptor connection = from.take_received_descriptor())
-                process_.add_caller_connection(std::move(connection), parts[0] == "1", parts[1]);
+                process_.add_caller_connection(
+                    std::move(connection), {.has_sent_request = is_set(parts[0]),
+                                            .has_placed_call = is_set(parts.size() > 2 ? parts[2] : parts[0]),
+                                            .partial_message = parts[1]});
             break;
         case Kind::remaining_callers:
             process_.set_predecessor_connections(static_cast<std::size_t>(
                 std::max<std::int64_t>(0, protocol::to_integer(parts[0]).value_or(0))));
             break;
         case Kind::standing_call:
-            process_.add_standing_call(parts[0], parts[1], parts[2]);
+            process_.add_standing_call(
+                parts[0], parts[1],
+                {.origin = parts[2], .port = parts.size() > 3 ? to_port(parts[3]) : kNoPort});
             break;
         case Kind::call_ended:
-            process_.end_standing_call(parts[0], parts[1], parts[2] == "1" ? Outcome::ended : Outcome::reset);
+            process_.end_standing_call(parts[0], parts[1],
+                                       is_set(parts[2]) ? Outcome::ended : Outcome::reset);
             break;
         case Kind::call_released:
             process_.release_standing_call(parts[0]);
             break;
+        case Kind::release_relayed:
+            process_.on_release_relayed(parts[0], is_set(parts[1]));
+            break;
         default:  // out of order: ignored
             break;
     }
--- a/src/net/handover.hpp
+++ b/src/net/handover.hpp
@@ -11,6 +11,7 @@
 #include "calls/signals.hpp"
 #include "counters.hpp"
 #include "net/connection.hpp"
+#include "protocol/callers.hpp"
 #include "protocol/handover.hpp"
 
 namespace nettlestall::net {
@@ -34,8 +35,9 @@
 };
 
 // A process is the successor of the one before it and later the predecessor of the next. Implements the call
-// table's Successor: sends the standing calls, and what becomes of them, to the successor process.
-class Handover final : public Successor {
+// table's Successor, which sends the standing calls and what becomes of them to the successor process, and
+// its Predecessor, which has releases sent by the predecessor process.
+class Handover final : public Successor, public Predecessor {
    public:
     // What the hand-over needs from the process that it is part of.
     class Process {
@@ -45,19 +47,24 @@
         virtual int listener_descriptor() = 0;
         virtual void begin_handover() = 0;  // accepts no further connections, passes on the open ones
         virtual void resume_service() = 0;  // the successor has gone: serves as before
+        // Sends a release to a caller whose connection is still here. False: there is none of the caller.
+        virtual bool deliver_release(const CallId& call, const CallerAddress& caller,
+                                     ReleaseReason reason) = 0;
         // Called while this process is the successor.
         virtual void use_listener(Descriptor listener) = 0;
         virtual void apply_list(const std::string& line) = 0;
         virtual bool is_prepared() = 0;  // ready to serve
         virtual void take_over() = 0;    // serves from now on, also if nothing was handed over
-        virtual void add_caller_connection(Descriptor connection, bool has_sent_request,
-                                           std::string_view partial_message) = 0;
+        virtual void add_caller_connection(Descriptor connection, const protocol::CallerState& state) = 0;
         // The number of callers' connections that the predecessor still has.
         virtual void set_predecessor_connections(std::size_t connections) = 0;
         virtual void add_standing_call(const ExchangeId& at, const CallId& call,
-                                       const std::string& origin) = 0;
+                                       const CallerAddress& caller) = 0;
         virtual void end_standing_call(const ExchangeId& at, const CallId& call, Outcome outcome) = 0;
         virtual void release_standing_call(const CallId& call) = 0;
+        // From now on releases for callers of the predecessor go there; null: it has gone.
+        virtual void use_predecessor(Predecessor* predecessor) = 0;
+        virtual void on_release_relayed(const CallId& call, bool is_delivered) = 0;
 
        protected:
         ~Process() = default;
@@ -79,12 +86,14 @@
     bool is_superseded() const { return handing_over_; }  // a successor has taken over
     bool is_idle() const;                                 // everything queued has been written
     // The following go to the successor, if there is one; otherwise they do nothing.
-    void pass_on_caller(Descriptor connection, bool has_sent_request, std::string partial_message);
+    void pass_on_caller(Descriptor connection, protocol::CallerState state);
     void report_remaining(std::size_t connections);
 
-    void hand_over_call(const ExchangeId& at, const CallId& call, std::string_view origin) override;
+    void hand_over_call(const ExchangeId& at, const CallId& call, const CallerAddress& caller) override;
     void hand_over_end(const ExchangeId& at, const CallId& call, Outcome outcome) override;
     void hand_over_release(const CallId& call) override;
+    // Goes to the predecessor.
+    void relay_release(const CallId& call, const CallerAddress& caller, ReleaseReason reason) override;
 
    private:
     class Channel;
@@ -93,9 +102,15 @@
 
     asio::awaitable<void> accept();
     asio::awaitable<void> serve_successor(std::shared_ptr<Channel> to);
+    // A connection to the process that listens at the path; null: there is none.
+    std::shared_ptr<Channel> connect();
     asio::awaitable<void> take_over_from(std::shared_ptr<Channel> from);
-    asio::awaitable<bool> prepare_to_take_over(std::shared_ptr<Channel> from);
+    // Agrees with the predecessor on a version and uses its listening socket. May replace the connection.
+    asio::awaitable<bool> greet(std::shared_ptr<Channel>& from);
+    asio::awaitable<bool> prepare_to_take_over(std::shared_ptr<Channel>& from);
     void handle(Channel& from, const Message& message);
+    void handle_from_successor(const Message& message);
+    void end_predecessor(Channel& from);
     void send_to_successor(Message message, Descriptor descriptor = Descriptor());
 
     asio::io_context& io_;
@@ -103,7 +118,8 @@
     Process& process_;
     Counters& counters_;
     asio::local::stream_protocol::acceptor acceptor_;
-    std::shared_ptr<Channel> successor_;
+    std::shared_ptr<Channel> successor_, predecessor_;
+    int successor_version_ = 0;    // of its messages
     std::uint64_t own_inode_ = 0;  // of this process's socket at the path; 0: none
     // handing_over_: a successor has taken over; accepting_: accept() is running.
     bool handing_over_ = false, accepting_ = false, stopped_ = false;
--- a/src/program.cpp
+++ b/src/program.cpp
@@ -177,12 +177,10 @@
         callers_.pause_accepting();
         if (trunk_) trunk_->hand_over();
         gatekeeper_.hand_over_to(&handover_);
-        callers_.pass_connections_to(
-            [this](int descriptor, bool has_sent_request, std::string partial_message) {
-                handover_.pass_on_caller(net::Descriptor(descriptor), has_sent_request,
-                                         std::move(partial_message));
-                handover_.report_remaining(callers_.connection_count());
-            });
+        callers_.pass_connections_to([this](int descriptor, protocol::CallerState state) {
+            handover_.pass_on_caller(net::Descriptor(descriptor), std::move(state));
+            handover_.report_remaining(callers_.connection_count());
+        });
         handover_.report_remaining(callers_.connection_count());
     }
     void resume_service() override {
@@ -192,6 +190,10 @@
         callers_.resume_accepting();
     }
 
+    bool deliver_release(const CallId& call, const CallerAddress& caller, ReleaseReason reason) override {
+        return gatekeeper_.deliver_release(call, caller, reason);
+    }
+
     // ---- Upgrade, as the successor
 
     void use_listener(net::Descriptor listener) override { callers_.listen_on(listener.release()); }
@@ -213,21 +215,24 @@
         callers_.start();
         log_.info(name_ + ": listening on " + listen_);
     }
-    void add_caller_connection(net::Descriptor connection, bool has_sent_request,
-                               std::string_view partial_message) override {
-        callers_.take_over_connection(connection.release(), has_sent_request, partial_message);
+    void add_caller_connection(net::Descriptor connection, const protocol::CallerState& state) override {
+        callers_.take_over_connection(connection.release(), state);
     }
     void set_predecessor_connections(std::size_t connections) override {
         predecessor_connections_ = connections;
         callers_.set_max_connections(plan_.max_callers - std::min(plan_.max_callers - 1, connections));
     }
-    void add_standing_call(const ExchangeId& at, const CallId& call, const std::string& origin) override {
-        gatekeeper_.accept_standing(at, call, origin, trunk_ ? trunk_->find_link(origin) : nullptr);
+    void add_standing_call(const ExchangeId& at, const CallId& call, const CallerAddress& caller) override {
+        gatekeeper_.accept_standing(at, call, caller, trunk_ ? trunk_->find_link(caller.origin) : nullptr);
     }
     void end_standing_call(const ExchangeId& at, const CallId& call, Outcome outcome) override {
         gatekeeper_.on_unattributed_end(at, call, outcome, Cause::none, {});
     }
     void release_standing_call(const CallId& call) override { gatekeeper_.accept_release(call); }
+    void use_predecessor(Predecessor* predecessor) override { gatekeeper_.use_predecessor(predecessor); }
+    void on_release_relayed(const CallId& call, bool is_delivered) override {
+        gatekeeper_.on_release_relayed(call, is_delivered);
+    }
 
    private:
     // Logs a line about a call or a connection, unless there are too many of them.
--- a/src/protocol/callers.cpp
+++ b/src/protocol/callers.cpp
@@ -40,8 +40,9 @@
     return well_formed;
 }
 
-bool CallerSession::resume(bool has_sent_request, std::string_view partial_message) {
-    has_sent_request_ = has_sent_request;
+bool CallerSession::resume(const CallerState& state) {
+    has_sent_request_ = state.has_sent_request;
+    std::string_view partial_message = state.partial_message;
     while (!partial_message.empty()) {
         const std::span<char> buffer = read_buffer();
         const std::size_t part = std::min(buffer.size(), partial_message.size());
@@ -66,6 +67,7 @@
             return true;
         case MessageType::health_check:
             has_sent_request_ = true;
+            usage.has_sent_health_check = true;
             ++counters_.tests;
             output_.send(FrameBuilder(MessageType::health_check_result, message.call())
                              .cause(events_.is_ready())
--- a/src/protocol/callers.hpp
+++ b/src/protocol/callers.hpp
@@ -8,6 +8,12 @@
 
 namespace nettlestall::protocol {
 
+// What a process has to know of a connection that another process has served.
+struct CallerState {
+    bool has_sent_request = false, has_placed_call = false;
+    std::string partial_message{};  // the bytes that have come of a message that is not complete yet
+};
+
 // One connection of a caller.
 class CallerSession final : public CallerLink {
    public:
@@ -22,9 +28,9 @@
         ~Output() = default;
     };
 
-    // `events`, `output` and `counters` have to outlive the session. `origin` identifies the caller.
-    CallerSession(CallerEvents& events, Output& output, Counters& counters, std::string origin = {})
-        : events_(events), output_(output), counters_(counters), origin_(std::move(origin)) {}
+    // `events`, `output` and `counters` have to outlive the session. `caller`: where it comes from.
+    CallerSession(CallerEvents& events, Output& output, Counters& counters, CallerAddress caller = {})
+        : events_(events), output_(output), counters_(counters), caller_(std::move(caller)) {}
 
     // Where the next bytes of the connection are to be read into.
     std::span<char> read_buffer() { return reader_.read_buffer(); }
@@ -32,11 +38,14 @@
     // is to be closed.
     bool consume(std::size_t bytes);
 
-    // The bytes that have come of a message that is not complete yet.
-    std::string_view partial_message() const { return reader_.partial_message(); }
-    // Continues where the session of another process stopped on the same connection, with that session's
-    // has_sent_request() and partial_message(). False: the bytes are malformed.
-    bool resume(bool has_sent_request, std::string_view partial_message);
+    CallerState state() const {
+        return {.has_sent_request = has_sent_request_,
+                .has_placed_call = usage.has_placed_call,
+                .partial_message = std::string(reader_.partial_message())};
+    }
+    // Continues where the session of another process stopped on the same connection. False: the bytes of the
+    // partial message are malformed.
+    bool resume(const CallerState& state);
     // Whether the caller has sent any message that gets an answer.
     bool has_sent_request() const { return has_sent_request_; }
     bool has_partial_message() const { return reader_.has_partial_message(); }
@@ -45,7 +54,8 @@
 
     bool answer(const CallId& call, Description description) override;
     void release(const CallId& call, ReleaseReason reason) override;
-    std::string_view origin() const override { return origin_; }
+    std::string_view origin() const override { return caller_.origin; }
+    int port() const override { return caller_.port; }
 
    private:
     // Both return false if the message is malformed.
@@ -55,7 +65,7 @@
     CallerEvents& events_;
     Output& output_;
     Counters& counters_;
-    std::string origin_;
+    CallerAddress caller_;
     MessageReader reader_;
     bool has_sent_request_ = false;
 };
--- a/src/protocol/handover.cpp
+++ b/src/protocol/handover.cpp
@@ -7,33 +7,39 @@
 
 constexpr std::size_t kReadBytes = 16 * 1024;  // buffer space for each read
 constexpr std::size_t kLengthFieldBytes = 4;
-// The parts of a hello.
-constexpr const char* kName = "nettlestall";
-constexpr const char* kVersion = "1";
+constexpr const char* kName = "nettlestall";  // the first part of a hello
 
-// How many parts a message of this kind has.
-std::size_t part_count(HandoverKind kind) {
+// How many parts a message of this kind may have, over all versions.
+struct PartCount {
+    std::size_t min, max;
+};
+PartCount part_count(HandoverKind kind) {
     switch (kind) {
         case HandoverKind::hello:
+        case HandoverKind::release_relayed:
+            return {2, 2};
         case HandoverKind::caller_connection:
-            return 2;
+            return {2, 3};
         case HandoverKind::standing_call:
+            return {3, 4};
         case HandoverKind::call_ended:
-            return 3;
+            return {3, 3};
+        case HandoverKind::release_to_relay:
+            return {4, 4};
         case HandoverKind::exchange_list:
         case HandoverKind::remaining_callers:
         case HandoverKind::call_released:
-            return 1;
+            return {1, 1};
         case HandoverKind::take_over:
         case HandoverKind::handed_over:
             break;
     }
-    return 0;
+    return {0, 0};
 }
 
 bool is_known(std::uint8_t kind) {
     return kind >= static_cast<std::uint8_t>(HandoverKind::hello) &&
-           kind <= static_cast<std::uint8_t>(HandoverKind::call_released);
+           kind <= static_cast<std::uint8_t>(HandoverKind::release_relayed);
 }
 
 void write_length(std::string& to, std::size_t length) {
@@ -61,18 +67,21 @@
         message.parts.emplace_back(body.substr(0, length));
         body.remove_prefix(length);
     }
-    if (message.parts.size() != part_count(message.kind)) return std::nullopt;
+    const PartCount allowed = part_count(message.kind);
+    if (message.parts.size() < allowed.min || message.parts.size() > allowed.max) return std::nullopt;
     return message;
 }
 
 }  // namespace
 
-HandoverMessage HandoverMessage::hello() {
-    return {.kind = HandoverKind::hello, .parts = {kName, kVersion}};
+HandoverMessage HandoverMessage::hello(int version) {
+    return {.kind = HandoverKind::hello, .parts = {kName, std::to_string(version)}};
 }
 
-bool HandoverMessage::is_valid_hello() const {
-    return kind == HandoverKind::hello && parts == hello().parts;
+std::optional<int> HandoverMessage::hello_version() const {
+    for (int version = kOldestHandoverVersion; version <= kNewestHandoverVersion; ++version)
+        if (kind == HandoverKind::hello && parts == hello(version).parts) return version;
+    return std::nullopt;
 }
 
 std::string HandoverMessage::encode() const {
--- a/src/protocol/handover.hpp
+++ b/src/protocol/handover.hpp
@@ -17,26 +17,37 @@
 
 // The kinds of messages. The comments name the parts. Each part is text; a flag is `1` or `0`.
 enum class HandoverKind : std::uint8_t {
-    hello = 1,          // name, version; with the listening socket if the predecessor sends it
-    exchange_list,      // the exchanges, as a line of the control feed
-    take_over,          // no parts: the successor is ready
-    handed_over,        // no parts: the predecessor accepts no more connections
-    caller_connection,  // flag: has sent a request; bytes of a message that has begun; with the connection
+    hello = 1,      // name, version; with the listening socket if the predecessor sends it
+    exchange_list,  // the exchanges, as a line of the control feed
+    take_over,      // no parts: the successor is ready
+    handed_over,    // no parts: the predecessor accepts no more connections
+    // flag: has sent a request; bytes of a message that has begun; flag: has placed a call (from version 2
+    // on); with the connection
+    caller_connection,
     remaining_callers,  // how many callers' connections the predecessor still has
-    standing_call,      // exchange, call, origin
+    standing_call,      // exchange, call, origin, port of the caller (from version 2 on)
     call_ended,         // exchange, call, flag: ended in the normal way, else it was cut
     call_released,      // call; by its caller
+    // From version 2 on.
+    release_to_relay,  // call, origin, port, reason as its number; by the successor
+    release_relayed,   // call, flag: was sent to its caller; by the predecessor
 };
 
-// One message, with as many parts as its kind has.
+// The versions of the messages. A successor offers its newest one first, and the predecessor keeps to what it
+// is offered if it knows it.
+constexpr int kOldestHandoverVersion = 1, kNewestHandoverVersion = 2;
+// From this version on the predecessor sends releases for the successor, and connections and calls come with
+// the caller's port.
+constexpr int kRelayHandoverVersion = 2;
+
+// One message, with as many parts as its kind has in the version.
 struct HandoverMessage {
     HandoverKind kind{};
     std::vector<std::string> parts;
 
-    // The hello of this program in this version of the messages.
-    static HandoverMessage hello();
-    // Whether it equals hello().
-    bool is_valid_hello() const;
+    static HandoverMessage hello(int version);
+    // The version of a hello; std::nullopt if this is none of this program in a version that is known.
+    std::optional<int> hello_version() const;
     // Whether a file descriptor may come with it.
     bool carries_descriptor() const {
         return kind == HandoverKind::hello || kind == HandoverKind::caller_connection;
--- a/src/trunk_service.cpp
+++ b/src/trunk_service.cpp
@@ -44,7 +44,7 @@
             trunk_manager_.restore(ledger_->calls(), [this](const auto& call, CallerLink* link) {
                 const ExchangeId at =
                     call.outgoing ? trunk_manager_.find(call.group)->settings().exchange : call.exchange;
-                gatekeeper_.accept_standing(at, call.call, call.origin, link);
+                gatekeeper_.accept_standing(at, call.call, {.origin = call.origin}, link);
             });
         if (restored > 0)
             log_.info("ledger: " + std::to_string(restored) +
