--- a/src/net/callers.cpp
+++ b/src/net/callers.cpp
@@ -24,8 +24,8 @@
 // must be closed within 3 s.
 constexpr milliseconds kMaxFirstRequestTime{2800};
 constexpr milliseconds kMaxMessageTime{2800};  // from a message's first byte to its last
-// Without the far end reading. By then the deadlines of the answers that wait for it are over.
-constexpr milliseconds kMaxBlockedTime{5000};
+// Without the far end reading. A link that is cut is back by then, or the answers that wait for it are late.
+constexpr milliseconds kMaxBlockedTime{20'000};
 
 // The address family of a socket that another process has passed on.
 tcp address_family(int descriptor) {
--- a/src/net/callers.hpp
+++ b/src/net/callers.hpp
@@ -14,7 +14,7 @@
 // Accepts and owns the connections of callers, up to a bound. Closes a connection when
 //  - the far end closes it or sends a malformed message,
 //  - it has sent no request for 2.8 s after it came up, or a message is incomplete for 2.8 s,
-//  - many answers have waited for 5 s without the far end reading any of them,
+//  - many answers have waited for 20 s without the far end reading any of them,
 //  - another connection needs its place (see displace_one()),
 //  - it has no call and callers are to be sent elsewhere (close_idle_while()),
 //  - the process ends.
