--- a/review/standin-2/kit.hpp
+++ b/review/standin-2/kit.hpp
@@ -428,7 +428,8 @@
     std::vector<ConnectionPtr> connections;  // that are open
     std::function<void()> on_connections;    // their number has changed
     std::function<void(const std::string&)> on_set_up, on_release;
-    bool quiet = false;  // leaves set-ups and releases out of the record
+    double path_delay = 0;  // each way: of the releases that the switch sends, and of its hearing of a close
+    bool quiet = false;     // leaves set-ups and releases out of the record
     Listener listener;
 
     int used() const {
@@ -464,8 +465,13 @@
         call.released_at = now();
         if (!quiet) record("%s: releases %s, cause %d", name_.c_str(), id.c_str(), cause);
         auto on = call.connection.lock();
-        if ((!on || !on->is_open()) && !connections.empty()) on = connections.back();
-        if (on) on->send(release_message(id, cause));
+        const bool knows =
+            std::any_of(connections.begin(), connections.end(), [&](const auto& c) { return c == on; });
+        if ((!on || !knows) && !connections.empty()) on = connections.back();
+        if (on && path_delay > 0)
+            loop().after(path_delay, [on, id, cause] { on->send(release_message(id, cause)); });
+        else if (on)
+            on->send(release_message(id, cause));
         again_on_next_.push_back(release_message(id, cause));
         send_state();
     }
@@ -486,7 +492,7 @@
         record("%s: connection %d closed by the far end", name_.c_str(), raw->number);
         for (auto& [id, call] : calls)
             if (const auto at = call.connection.lock(); at.get() == raw && !call.stands) call.ended = true;
-        loop().after(0, [this, raw] {
+        loop().after(path_delay, [this, raw] {
             std::erase_if(connections, [raw](const auto& at) { return at.get() == raw; });
             if (on_connections) on_connections();
         });
