--- a/review/standin-2/kit.hpp
+++ b/review/standin-2/kit.hpp
@@ -543,7 +543,7 @@
 
 // ---- The gatekeeper ------------------------------------------------------------------------------------
 
-// The folder of a run; it is removed at the end.
+// The folder of a run. It is removed at the end of the program, also if the case couldn't run.
 struct Folder {
     std::string path;
     Folder() {
@@ -551,10 +551,17 @@
         std::string form = std::string(base && *base ? base : "/tmp") + "/review-2.XXXXXX";
         if (!mkdtemp(form.data())) cannot_run("no temporary folder");
         path = form;
+        last() = path;
+        std::atexit([] {
+            std::error_code ignored;
+            std::filesystem::remove_all(last(), ignored);
+        });
     }
-    ~Folder() {
-        std::error_code ignored;
-        std::filesystem::remove_all(path, ignored);
+
+   private:
+    static std::string& last() {
+        static auto* const path = new std::string;  // outlives all static objects
+        return *path;
     }
 };
 
