--- a/review/standin-2/case-9.cpp
+++ b/review/standin-2/case-9.cpp
@@ -38,11 +38,23 @@
     record("%zu calls stand", calls.size());
     for (Switch* one : {&scene.carrier, &scene.other}) one->path_delay = 0.02;
 
+    // Further calls, so that the switches are never quiet.
+    const auto further = scene.connect_caller("127.84.0.99");
+    further->on_message = handle;
+    unsigned sent = 0;
+    const std::function<void()> send = [&] {
+        const std::string id = call_id(0xc0000u + ++sent);
+        further->send(set_up_message(id, static_cast<int>(1 + sent % 2), 3600));
+        loop().after(0.1, send);
+    };
+    send();
+
     std::unique_ptr<Gatekeeper> next;
     if (trouble) {
+        const double begun = now();
         next = scene.start_ready("new");
         record("the new process is ready");
-        loop().run_until(now() + 0.5);
+        loop().run_until(begun + 6);
         old->signal(SIGTERM);
     }
     const double start = now();
@@ -54,16 +66,6 @@
                 if (const auto at = one->calls.find(calls[i]); at != one->calls.end() && at->second.stands)
                     one->end(calls[i], 16), ended[calls[i]] = now();
         });
-    // Further calls, so that the switches are never quiet.
-    const auto further = scene.connect_caller("127.84.0.99");
-    further->on_message = handle;
-    unsigned sent = 0;
-    const std::function<void()> send = [&] {
-        const std::string id = call_id(0xc0000u + ++sent);
-        further->send(set_up_message(id, static_cast<int>(1 + sent % 2), 3600));
-        loop().after(0.1, send);
-    };
-    send();
     const double stop = start + 14;
     while (now() < stop) {
         loop().run_until(now() + 0.005);
